Add the design, the messages between processes and the project skeleton

Cause: the project starts empty; every module needs a common design, one list of error kinds and one set of messages before work can be split.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SEED ?= 1
+MINUTES ?= 10
+
+.PHONY: build test lint format generate demo soak measure slopes bench
+
+build:
+	go build -o bin/chestnutbeam ./cmd/chestnutbeam
+
+# Tests listed in KNOWN-RED.txt are passed over and printed.
+test:
+	.ci/test
+
+lint:
+	$(LINT) run ./...
+
+format:
+	$(LINT) fmt ./...
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-drpc v1.1.0; the generated code is committed.
+generate:
+	cd internal/wire/rpc && protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative rpc.proto
--- /dev/null
+++ b/internal/core/fault/fault.go
@@ -0,0 +1,96 @@
+// Package fault holds the closed list of error kinds and the answer that callers get for each.
+package fault
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Error is an error of one kind.
+type Error struct {
+	// Kind is on the closed list.
+	Kind Kind
+	// Message is safe to show to callers; it never holds a key.
+	Message string
+	// Param names the request field at fault; may be empty.
+	Param string
+	// RetryAfter is the time to come back; zero means the kind's default.
+	RetryAfter time.Duration
+	// Cause is the underlying error; may be nil.
+	Cause error
+}
+
+// New returns an error of the kind with a formatted message.
+func New(kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of the kind that has err as its cause.
+func Wrap(err error, kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...), Cause: err}
+}
+
+// WithParam sets the request field at fault.
+func (e *Error) WithParam(param string) *Error {
+	e.Param = param
+	return e
+}
+
+// WithRetry sets the time to come back.
+func (e *Error) WithRetry(after time.Duration) *Error {
+	e.RetryAfter = after
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := string(e.Kind) + ": " + e.Message
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// Retry returns the time to come back, or zero if coming back makes no difference.
+func (e *Error) Retry() time.Duration {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+
+	return e.Kind.Answer().Retry
+}
+
+// Of returns the Error in err's chain; context errors become Canceled or DeadlineExceeded and others Internal.
+func Of(err error) *Error {
+	if err == nil {
+		return nil
+	}
+
+	var found *Error
+
+	switch {
+	case errors.As(err, &found):
+		return found
+	case errors.Is(err, context.Canceled):
+		return Wrap(err, Canceled, "canceled")
+	case errors.Is(err, context.DeadlineExceeded):
+		return Wrap(err, DeadlineExceeded, "deadline exceeded")
+	default:
+		return Wrap(err, Internal, "internal error")
+	}
+}
+
+// Is reports whether err's chain holds an Error of the kind.
+func Is(err error, kind Kind) bool {
+	var found *Error
+	return errors.As(err, &found) && found.Kind == kind
+}
--- /dev/null
+++ b/internal/core/fault/fault_test.go
@@ -0,0 +1,42 @@
+package fault_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+)
+
+// Guards against an error whose kind is lost when it is wrapped on its way to the caller.
+func TestOfFindsTheKindInAChain(t *testing.T) {
+	base := fault.New(fault.RateLimited, "account is above its rate")
+	cases := map[string]struct {
+		err  error
+		kind fault.Kind
+	}{
+		"direct":   {base, fault.RateLimited},
+		"wrapped":  {errors.Wrap(base, "admit"), fault.RateLimited},
+		"canceled": {errors.Wrap(context.Canceled, "read"), fault.Canceled},
+		"deadline": {context.DeadlineExceeded, fault.DeadlineExceeded},
+		"other":    {errors.New("surprise"), fault.Internal},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, fault.Of(tc.err).Kind, tc.kind)
+		})
+	}
+}
+
+// Guards against a kind without a table entry, which would be answered as an internal error.
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	for _, kind := range fault.Kinds() {
+		answer := kind.Answer()
+		assert.Assert(t, answer.Status >= 400, "%s", kind)
+		assert.Assert(t, answer.Text != "", "%s", kind)
+		assert.Assert(t, answer.Type != "", "%s", kind)
+	}
+}
--- /dev/null
+++ b/internal/core/invariant/invariant.go
@@ -0,0 +1,30 @@
+// Package invariant checks conditions that must hold whatever fails.
+package invariant
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// Counter counts violations; it is registered as "invariant.violation".
+var Counter = metrics.GetOrRegisterCounter("invariant.violation", metrics.DefaultRegistry)
+
+// Check logs and counts a violation when ok is false; in tests it panics, so that the test fails.
+func Check(ok bool, name, format string, args ...any) {
+	if ok {
+		return
+	}
+
+	Counter.Inc(1)
+
+	message := fmt.Sprintf(format, args...)
+
+	logrus.WithFields(logrus.Fields{"component": "invariant", "name": name}).Error(message)
+
+	if testing.Testing() {
+		panic("invariant " + name + ": " + message)
+	}
+}
--- /dev/null
+++ b/internal/core/metric/metric.go
@@ -0,0 +1,71 @@
+// Package metric exposes a go-metrics registry in the Prometheus text format.
+package metric
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rcrowley/go-metrics"
+)
+
+const namespace = "chestnutbeam_"
+
+// quantiles are the quantiles reported for histograms and timers.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Collector is a prometheus.Collector over a go-metrics registry. go-metrics has no Prometheus format of its own.
+type Collector struct {
+	// Registry holds the metrics; their names use dots, which become underscores.
+	Registry metrics.Registry
+}
+
+// Handler returns an HTTP handler that renders the registry.
+func Handler(registry metrics.Registry) http.Handler {
+	exported := prometheus.NewRegistry()
+	exported.MustRegister(Collector{Registry: registry})
+
+	return promhttp.HandlerFor(exported, promhttp.HandlerOpts{})
+}
+
+// Describe implements prometheus.Collector; it sends nothing, because the set of metrics changes while a process runs.
+func (Collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c Collector) Collect(out chan<- prometheus.Metric) {
+	c.Registry.Each(func(name string, value any) {
+		desc := prometheus.NewDesc(namespace+strings.NewReplacer(".", "_", "-", "_").Replace(name), name, nil, nil)
+
+		switch m := value.(type) {
+		case metrics.Counter:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(m.Count()))
+		case metrics.Meter:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(m.Count()))
+		case metrics.Gauge:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(m.Value()))
+		case metrics.GaugeFloat64:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, m.Value())
+		case metrics.Histogram:
+			out <- summary(desc, m.Snapshot())
+		case metrics.Timer:
+			out <- summary(desc, m.Snapshot())
+		}
+	})
+}
+
+type distribution interface {
+	Count() int64
+	Sum() int64
+	Percentiles(ps []float64) []float64
+}
+
+func summary(desc *prometheus.Desc, from distribution) prometheus.Metric {
+	values := map[float64]float64{}
+
+	for i, value := range from.Percentiles(quantiles) {
+		values[quantiles[i]] = value
+	}
+
+	return prometheus.MustNewConstSummary(desc, uint64(from.Count()), float64(from.Sum()), values)
+}
--- /dev/null
+++ b/internal/platform/table/table.go
@@ -0,0 +1,41 @@
+// Package table is the platform's transactional table service, as its clients see it.
+package table
+
+import "context"
+
+// Row is one row. Version is the revision of the transaction that wrote it last; 0 means absent.
+type Row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"version"`
+}
+
+// Check makes a transaction fail unless the row still has this version; 0 requires that it is absent.
+type Check struct {
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// Put writes one row.
+type Put struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// Txn is one transaction: all checks hold and all writes happen, or nothing happens.
+type Txn struct {
+	Checks  []Check  `json:"checks,omitempty"`
+	Puts    []Put    `json:"puts,omitempty"`
+	Deletes []string `json:"deletes,omitempty"`
+}
+
+// Table reads and writes rows. An error of kind fault.Conflict means that a check failed and nothing was written;
+// an error of kind fault.TableUnavailable after Commit means that the transaction may or may not have taken effect.
+type Table interface {
+	// Get returns the row, with Version 0 if it is absent.
+	Get(ctx context.Context, key string) (Row, error)
+	// List returns up to limit rows whose key starts with prefix and is greater than after, in key order.
+	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit applies the transaction and returns its revision.
+	Commit(ctx context.Context, txn Txn) (int64, error)
+}
--- /dev/null
+++ b/internal/wire/conn/pool.go
@@ -0,0 +1,76 @@
+// Package conn dials, pools and serves drpc connections between processes.
+package conn
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	// idleExpiration closes pooled connections that were not used for this long.
+	idleExpiration = 30 * time.Second
+	// addressCapacity is the number of idle connections kept for each address.
+	addressCapacity = 32
+	// dialTimeout bounds a TCP dial, so that a VM that drops packets is noticed soon.
+	dialTimeout = time.Second
+	// cancelGrace is how long a canceled stream may take to end its current send before its connection is closed.
+	cancelGrace = 100 * time.Millisecond
+)
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Pool keeps idle drpc connections by address. A drpc connection carries one call at a time, so concurrent
+// calls to one address use several connections.
+type Pool struct {
+	dial Dialer
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// New returns a Pool; a nil dialer dials TCP.
+func New(dial Dialer) *Pool {
+	if dial == nil {
+		dial = dialTCP
+	}
+
+	options := drpcpool.Options{Expiration: idleExpiration, KeyCapacity: addressCapacity}
+
+	return &Pool{dial: dial, pool: drpcpool.New[string, drpcpool.Conn](options)}
+}
+
+// Get returns a connection that dials or reuses on each call.
+func (p *Pool) Get(address string) drpc.Conn {
+	return p.pool.Get(context.Background(), address, p.connect)
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() error {
+	return errors.Wrap(p.pool.Close(), "close idle connections")
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (drpcpool.Conn, error) {
+	raw, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: ManagerOptions()}), nil
+}
+
+// ManagerOptions returns the drpc options that clients and servers share.
+func ManagerOptions() drpcmanager.Options {
+	return drpcmanager.Options{SoftCancel: true, SoftCancelGrace: cancelGrace}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+
+	return dialer.DialContext(ctx, "tcp", address)
+}
