Record the VM list sequence in share assignments

An entry with an older VM list than the one from which a holder was chosen does not find the holder's VM in it, and would give the share away while the holder is alive. board.Holder.Listed holds the sequence of a list that has the VM, so that only a later list without it shows that the VM is gone.

--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -78,4 +78,7 @@
 	Since int64 `json:"since"`
 	// Full says that the share starts full; set only by the first assignment of an account.
 	Full bool `json:"full,omitempty"`
+	// Listed is the sequence of a VM list that has the VM. Only a later list without it shows that the VM is gone; an
+	// earlier one may not have had it yet.
+	Listed int64 `json:"listed"`
 }
