--- /dev/null
+++ b/internal/limit/terms/terms.go
@@ -0,0 +1,79 @@
+// Package terms derives rate and burst of an account and of its shares from the fleet document and an assignment.
+package terms
+
+import (
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/bucket"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+// Weights is the reserved account of the weight-store load budget; its token is one load.
+const Weights = "weights"
+
+const (
+	// weightsRate is the number of loads a second that the weight store allows.
+	weightsRate = 4
+	// weightsBurst keeps the loads in transit at or below 8 when a load takes a quarter second.
+	weightsBurst = 6
+)
+
+// Whole is the sum of the shares of an account, in millionths.
+const Whole = 1_000_000
+
+// Terms are the limits of an account across the fleet.
+type Terms struct {
+	// Rate is in tokens per second.
+	Rate float64
+	// Burst is in tokens.
+	Burst int64
+}
+
+// Of returns the terms of an account; ok is false if the document does not have it.
+func Of(doc *document.Document, account string) (terms Terms, ok bool) {
+	if account == Weights {
+		return Terms{Rate: weightsRate, Burst: weightsBurst}, true
+	}
+
+	if doc == nil {
+		return Terms{}, false
+	}
+
+	found, ok := doc.Accounts[account]
+
+	return Terms{Rate: found.Rate, Burst: found.Burst}, ok
+}
+
+// Range is the part of an account that a holder has, as an interval from 0 to Whole.
+type Range struct {
+	Start int64
+	End   int64
+}
+
+// RangeOf returns the range of the holder at an index: the shares of an assignment lie side by side in row order.
+func RangeOf(assignment board.Assignment, index int) Range {
+	start := int64(0)
+	for _, holder := range assignment.Holders[:index] {
+		start += holder.Share
+	}
+
+	return Range{Start: start, End: start + assignment.Holders[index].Share}
+}
+
+// Share returns the size of the range in millionths.
+func (r Range) Share() int64 {
+	return r.End - r.Start
+}
+
+// Within reports whether the range lies in another one.
+func (r Range) Within(other Range) bool {
+	return r.Start >= other.Start && r.End <= other.End
+}
+
+// Limits returns rate and cap of a range in bucket units. Caps are whole tokens that add up to the burst over any
+// division into ranges; with fractional caps, full holders could not give an amount equal to the burst.
+func (t Terms) Limits(r Range) (rate, size int64) {
+	rate = int64(t.Rate * float64(r.Share()))
+	size = (t.Burst*r.End/Whole - t.Burst*r.Start/Whole) * bucket.Micro
+
+	return rate, size
+}
