--- /dev/null
+++ b/internal/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit contains the tests of its subpackages together: bucket, terms, holder, ledger and assign.
+package limit
--- /dev/null
+++ b/internal/limit/fleet_test.go
@@ -0,0 +1,395 @@
+package limit_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/assign"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/holder"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/ledger"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+const (
+	account = "press"
+	// settle is enough virtual time for every entry to poll the table.
+	settle = 5 * time.Second
+)
+
+// fleet runs entry processes in one test over in-memory connections.
+type fleet struct {
+	t     *testing.T
+	table *faultyTable
+	doc   *document.Document
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	list    vms.List
+	boots   int
+	random  *rand.Rand
+}
+
+// entry is one process: everything of its board that other areas write is filled in by the fleet.
+type entry struct {
+	rpc.DRPCLimitUnimplementedServer
+
+	self   board.Holder
+	board  *board.Board
+	holder *holder.Holder
+	ledger *ledger.Ledger
+	assign *assign.Assign
+	pool   *conn.Pool
+	listen *listener
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu sync.Mutex
+	// thawed is closed when the entry is not frozen.
+	thawed chan struct{}
+	// lose is the probability that the reply to a debit or refund is lost.
+	lose   float64
+	random *rand.Rand
+}
+
+func newFleet(t *testing.T, rate float64, burst int64, seed uint64) *fleet {
+	t.Helper()
+
+	accounts := map[string]document.Account{account: {Rate: rate, Burst: burst}}
+
+	return &fleet{
+		t:       t,
+		table:   &faultyTable{random: rand.New(rand.NewPCG(seed, 1))},
+		doc:     &document.Document{Version: 1, Accounts: accounts},
+		entries: map[string]*entry{},
+		random:  rand.New(rand.NewPCG(seed, 2)),
+	}
+}
+
+// start runs a new entry process on a VM; the VM is listed if it was not yet.
+func (f *fleet) start(name, domain string) *entry {
+	f.mu.Lock()
+	f.boots++
+	address := name + ":1"
+	self := board.Holder{VM: name, Address: address, Boot: fmt.Sprintf("boot-%d", f.boots), Domain: domain}
+	f.mu.Unlock()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &entry{self: self, board: &board.Board{}, pool: conn.New(f.dial), listen: newListener(), cancel: cancel}
+	e.thawed = make(chan struct{})
+	close(e.thawed)
+	e.random = rand.New(rand.NewPCG(uint64(f.boots), 3))
+	e.holder = &holder.Holder{Board: e.board, Boot: self.Boot}
+	e.assign = &assign.Assign{Board: e.board, Table: f.table, Holder: e.holder, Self: self, Boot: f.bootAt}
+	e.ledger = &ledger.Ledger{Board: e.board, Pool: e.pool, Local: e.holder, Stale: e.assign.Poke}
+
+	f.mu.Lock()
+	f.entries[address] = e
+	e.board.Document.Set(f.doc)
+
+	f.mu.Unlock()
+	f.enlist(name, domain)
+	f.gossip()
+
+	e.done.Go(func() { _ = e.assign.Run(ctx) })
+	e.done.Go(func() { _ = e.holder.Run(ctx) })
+	e.done.Go(func() {
+		_ = conn.Serve(ctx, e.listen, func(mux *drpcmux.Mux) error { return rpc.DRPCRegisterLimit(mux, e) })
+	})
+
+	return e
+}
+
+// gossip does what config/follow and fleet/member do in a real process.
+func (f *fleet) gossip() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	peers := map[string]board.Peer{}
+	for address, e := range f.entries {
+		peers[address] = board.Peer{Name: e.self.VM, Boot: e.self.Boot, Domain: e.self.Domain, Contact: time.Now()}
+	}
+
+	for _, e := range f.entries {
+		e.board.Peers.Set(peers)
+		e.board.VMs.Set(f.list)
+
+		if e.board.Document.Value() != f.doc {
+			e.board.Document.Set(f.doc)
+		}
+	}
+}
+
+// enlist puts a VM on the platform's list.
+func (f *fleet) enlist(name, domain string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.listed(name) {
+		return
+	}
+
+	listed := append(slices.Clone(f.list.VMs), vms.VM{Name: name, Address: name + ":1", Domain: domain, Role: vms.RoleEntry})
+	f.list = vms.List{Sequence: f.list.Sequence + 1, VMs: listed}
+}
+
+// startAll lists and starts one entry for each domain: vm-<domain>.
+func (f *fleet) startAll(domains ...string) []*entry {
+	for _, domain := range domains {
+		f.enlist("vm-"+domain, domain)
+	}
+
+	entries := make([]*entry, 0, len(domains))
+	for _, domain := range domains {
+		entries = append(entries, f.start("vm-"+domain, domain))
+	}
+
+	time.Sleep(settle)
+
+	return entries
+}
+
+func (f *fleet) listed(name string) bool {
+	for _, vm := range f.list.VMs {
+		if vm.Name == name {
+			return true
+		}
+	}
+
+	return false
+}
+
+// kill ends an entry process at once.
+func (f *fleet) kill(e *entry) {
+	f.mu.Lock()
+	delete(f.entries, e.self.Address)
+	f.mu.Unlock()
+
+	e.thaw()
+	e.holder.Stop()
+	e.cancel()
+	_ = e.listen.Close()
+	e.done.Wait()
+	e.ledger.Wait()
+	_ = e.pool.Close()
+}
+
+// unlist removes a VM from the platform's list.
+func (f *fleet) unlist(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var kept []vms.VM
+
+	for _, vm := range f.list.VMs {
+		if vm.Name != name {
+			kept = append(kept, vm)
+		}
+	}
+
+	f.list = vms.List{Sequence: f.list.Sequence + 1, VMs: kept}
+}
+
+func (f *fleet) stop() {
+	for _, e := range f.running() {
+		f.kill(e)
+	}
+}
+
+func (f *fleet) running() []*entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var found []*entry
+
+	for _, vm := range f.list.VMs {
+		if e := f.entries[vm.Address]; e != nil {
+			found = append(found, e)
+		}
+	}
+
+	return found
+}
+
+func (f *fleet) bootAt(_ context.Context, address string) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if e := f.entries[address]; e != nil {
+		return e.self.Boot, nil
+	}
+
+	return "", errors.New("connection refused")
+}
+
+func (f *fleet) dial(ctx context.Context, address string) (net.Conn, error) {
+	f.mu.Lock()
+	e := f.entries[address]
+	f.mu.Unlock()
+
+	if e == nil {
+		return nil, errors.New("connection refused")
+	}
+
+	return e.listen.dial(ctx)
+}
+
+func (e *entry) freeze() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.thawed = make(chan struct{})
+}
+
+func (e *entry) thaw() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	select {
+	case <-e.thawed:
+	default:
+		close(e.thawed)
+	}
+}
+
+// pass waits for a frozen entry and takes one network delay; it reports whether the reply is lost.
+func (e *entry) pass(ctx context.Context) bool {
+	e.mu.Lock()
+	thawed := e.thawed
+	delay := time.Duration(e.random.Int64N(int64(3 * time.Millisecond)))
+	lost := e.random.Float64() < e.lose
+	e.mu.Unlock()
+
+	// The sender's context does not matter: a request that has arrived is executed.
+	_ = ctx
+
+	<-thawed
+	time.Sleep(delay)
+
+	return lost
+}
+
+// Debit implements the Limit service with the entry's faults.
+func (e *entry) Debit(ctx context.Context, request *rpc.DebitRequest) (*rpc.DebitReply, error) {
+	lost := e.pass(ctx)
+
+	reply, err := e.holder.Debit(ctx, request)
+	if lost {
+		return nil, errors.New("reply lost")
+	}
+
+	return reply, err
+}
+
+// Refund implements the Limit service with the entry's faults.
+func (e *entry) Refund(ctx context.Context, request *rpc.RefundRequest) (*rpc.RefundReply, error) {
+	lost := e.pass(ctx)
+
+	reply, err := e.holder.Refund(ctx, request)
+	if lost {
+		return nil, errors.New("reply lost")
+	}
+
+	return reply, err
+}
+
+// listener accepts in-memory connections.
+type listener struct {
+	queue  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newListener() *listener {
+	return &listener{queue: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *listener) dial(ctx context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+
+	select {
+	case l.queue <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// faultyTable is a table with outages and lost replies.
+type faultyTable struct {
+	table.Memory
+
+	mu     sync.Mutex
+	down   bool
+	lose   float64
+	random *rand.Rand
+}
+
+func (f *faultyTable) set(down bool, lose float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.down = down
+	f.lose = lose
+}
+
+func (f *faultyTable) fails() (down, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.down, f.random.Float64() < f.lose
+}
+
+func (f *faultyTable) List(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	if down, lost := f.fails(); down || lost {
+		return nil, fault.New(fault.TableUnavailable, "down")
+	}
+
+	return f.Memory.List(ctx, prefix, after, limit)
+}
+
+func (f *faultyTable) Commit(ctx context.Context, txn table.Txn) (int64, error) {
+	down, lost := f.fails()
+	if down {
+		return 0, fault.New(fault.TableUnavailable, "down")
+	}
+
+	revision, err := f.Memory.Commit(ctx, txn)
+	if lost {
+		return 0, fault.New(fault.TableUnavailable, "reply lost")
+	}
+
+	return revision, err
+}
--- /dev/null
+++ b/internal/limit/ledger/call.go
@@ -0,0 +1,90 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/holder"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+const (
+	// refundTries bounds how often a refund is sent; a refund that is lost loses tokens and creates none.
+	refundTries = 3
+	// refundPause is the time before the first repeated refund; it doubles.
+	refundPause = 500 * time.Millisecond
+)
+
+type result[T any] struct {
+	reply T
+	err   error
+}
+
+// debit calls a holder and returns at the latest when the context ends, even if the connection does not.
+func (l *Ledger) debit(ctx context.Context, to board.Holder, request *rpc.DebitRequest) (*rpc.DebitReply, error) {
+	if l.isLocal(to) {
+		return l.Local.Debit(ctx, request)
+	}
+
+	return bounded(ctx, func() (*rpc.DebitReply, error) {
+		return rpc.NewDRPCLimitClient(l.Pool.Get(to.Address)).Debit(ctx, request)
+	})
+}
+
+func (l *Ledger) refund(to board.Holder, request *rpc.RefundRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), holder.Lag)
+	defer cancel()
+
+	_, err := bounded(ctx, func() (*rpc.RefundReply, error) {
+		return rpc.NewDRPCLimitClient(l.Pool.Get(to.Address)).Refund(ctx, request)
+	})
+
+	return err
+}
+
+func bounded[T any](ctx context.Context, call func() (T, error)) (T, error) {
+	done := make(chan result[T], 1)
+
+	go func() {
+		reply, err := call()
+		done <- result[T]{reply, err}
+	}()
+
+	select {
+	case got := <-done:
+		return got.reply, got.err
+	case <-ctx.Done():
+		var none T
+		return none, errors.Wrap(ctx.Err(), "call holder")
+	}
+}
+
+func (l *Ledger) isLocal(to board.Holder) bool {
+	return l.Local != nil && l.Local.Boot == to.Boot
+}
+
+// giveBack refunds part of a debit at one holder, repeating a bounded number of times.
+func (l *Ledger) giveBack(account string, from part, amount int64) {
+	request := &rpc.RefundRequest{RequestId: from.id, Account: account, Amount: amount}
+
+	if l.isLocal(from.holder) {
+		_, _ = l.Local.Refund(context.Background(), request)
+		return
+	}
+
+	l.returns.Go(func() {
+		pause := refundPause
+
+		for try := 1; ; try++ {
+			if l.refund(from.holder, request) == nil || try == refundTries {
+				return
+			}
+
+			time.Sleep(pause)
+			pause *= 2
+		}
+	})
+}
