Let replies count after the next holder was asked

Cause: a holder farther away than its part of the 250 ms never counted, and every refusal waited for a holder that does not answer.

Change: calls stay open while the next holders are asked; a reply counts until the time is over and only the rest is given back. Holders in backoff are asked only if no other answered. Debits of all accounts share one bounded memory, and ids of debits are a random prefix with a counter.

--- a/internal/limit/holder/holder.go
+++ b/internal/limit/holder/holder.go
@@ -30,6 +30,7 @@
 	// started holds the newest Since of each account that this process began, so that no share starts full twice.
 	started map[string]int64
 	stopped bool
+	records records
 }
 
 // Debit implements the Limit service: it takes what the share has, up to the amount, in whole tokens.
@@ -44,7 +45,7 @@
 		return &rpc.DebitReply{RequestId: request.RequestId, Status: rpc.DebitStatus_DEBIT_NOT_HOLDER, Epoch: epoch}, nil
 	}
 
-	taken := held.debit(now, request.RequestId, request.Amount)
+	taken := h.debit(held, now, request.RequestId, request.Amount)
 	wait := held.bucket.Wait(now, units(request.Amount-taken))
 
 	return &rpc.DebitReply{
@@ -68,7 +69,7 @@
 	reply := &rpc.RefundReply{RequestId: request.RequestId}
 
 	if held, _ := h.current(request.Account, now); held != nil {
-		reply.Credited = held.refund(now, request.RequestId, request.Amount)
+		reply.Credited = h.refund(held, now, request.RequestId, request.Amount)
 	}
 
 	return reply, nil
--- a/internal/limit/holder/records.go
+++ b/internal/limit/holder/records.go
@@ -7,16 +7,18 @@
 )
 
 const (
-	// recordLimit bounds the debits remembered for each account; a record takes about 200 bytes.
-	recordLimit = 1 << 16
+	// recordLimit bounds the debits remembered; a record takes about 250 bytes with its index entry.
+	recordLimit = 1 << 18
 	// recordAge is longer than any request runs; a refund that comes later credits nothing.
 	recordAge = 10 * time.Minute
 )
 
 // record is one debit, or a refund that came before its debit.
 type record struct {
-	id   string
-	mark bucket.Mark
+	id string
+	// share is where the tokens came from.
+	share *share
+	mark  bucket.Mark
 	// taken is in tokens.
 	taken int64
 	// credited is in tokens.
@@ -25,7 +27,7 @@
 	at       time.Time
 }
 
-// records finds debits by request id. It is bounded in number and age; the oldest are dropped first.
+// records finds the debits of all shares by request id. It is bounded in number and age; the oldest are dropped first.
 type records struct {
 	byID  map[string]*record
 	queue []*record
@@ -35,21 +37,25 @@
 	return r.byID[id]
 }
 
-// add stores a record and returns those that were dropped for it.
-func (r *records) add(now time.Time, entry *record) []*record {
+// add stores a record, and drops old ones for it.
+func (r *records) add(entry *record) {
 	if r.byID == nil {
 		r.byID = map[string]*record{}
 	}
 
-	drop := 0
-	for drop < len(r.queue) && (len(r.queue)-drop >= recordLimit || now.Sub(r.queue[drop].at) > recordAge) {
-		delete(r.byID, r.queue[drop].id)
-		drop++
+	for len(r.queue) > 0 && (len(r.queue) >= recordLimit || entry.at.Sub(r.queue[0].at) > recordAge) {
+		r.drop(r.queue[0])
+		r.queue = r.queue[1:]
 	}
 
-	dropped := r.queue[:drop]
-	r.queue = append(r.queue[drop:], entry)
+	r.queue = append(r.queue, entry)
 	r.byID[entry.id] = entry
+}
+
+func (r *records) drop(old *record) {
+	delete(r.byID, old.id)
 
-	return dropped
+	if !old.refunded {
+		old.share.bucket.Close(old.mark)
+	}
 }
--- a/internal/limit/holder/share.go
+++ b/internal/limit/holder/share.go
@@ -27,7 +27,6 @@
 	// sharesVersion and documentVersion are the board versions that were applied.
 	sharesVersion   int64
 	documentVersion int64
-	records         records
 }
 
 // Lower reduces this process's share to a smaller range before the rest is given to another process by a row with a
@@ -152,49 +151,42 @@
 	held.bucket.Set(now, rate, size)
 }
 
-func (s *share) debit(now time.Time, id string, amount int64) int64 {
-	if known := s.records.find(id); known != nil {
+// debit takes up to the amount of whole tokens. A debit that took nothing is not remembered: its repetition may take
+// what has come in since, which the requester counts once.
+func (h *Holder) debit(held *share, now time.Time, id string, amount int64) int64 {
+	if known := h.records.find(id); known != nil {
 		return known.taken
 	}
 
-	available := s.bucket.Level(now) / bucket.Micro
+	available := held.bucket.Level(now) / bucket.Micro
 
-	mark, taken := s.bucket.Debit(now, units(min(amount, available)))
+	mark, taken := held.bucket.Debit(now, units(min(amount, available)))
 	if taken == 0 {
 		return 0
 	}
 
-	s.remember(now, &record{id: id, mark: mark, taken: taken / bucket.Micro, at: now})
+	entry := &record{id: id, share: held, mark: mark, taken: taken / bucket.Micro, at: now}
+	h.records.add(entry)
 
-	return taken / bucket.Micro
+	return entry.taken
 }
 
-func (s *share) refund(now time.Time, id string, amount int64) int64 {
-	known := s.records.find(id)
+func (h *Holder) refund(held *share, now time.Time, id string, amount int64) int64 {
+	known := h.records.find(id)
 	if known == nil {
 		// The refund of a debit that the requester gave up on can overtake it; the debit must then take nothing.
-		s.remember(now, &record{id: id, refunded: true, at: now})
+		h.records.add(&record{id: id, share: held, refunded: true, at: now})
 		return 0
 	}
 
-	if known.refunded {
-		return known.credited
+	if !known.refunded {
+		known.refunded = true
+		known.credited = known.share.bucket.Refund(now, known.mark, units(min(amount, known.taken))) / bucket.Micro
 	}
 
-	known.refunded = true
-	known.credited = s.bucket.Refund(now, known.mark, units(min(amount, known.taken))) / bucket.Micro
-
 	return known.credited
 }
 
-func (s *share) remember(now time.Time, entry *record) {
-	for _, dropped := range s.records.add(now, entry) {
-		if !dropped.refunded {
-			s.bucket.Close(dropped.mark)
-		}
-	}
-}
-
 // narrow returns the part of a range that lies in another one.
 func narrow(part, within terms.Range) terms.Range {
 	start := max(part.Start, within.Start)
--- a/internal/limit/ledger/attempt.go
+++ b/internal/limit/ledger/attempt.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
@@ -13,7 +13,10 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
-// attempt is one debit at one or several holders.
+// maxCalls bounds the calls of one debit, also when the assignment changes meanwhile.
+const maxCalls = 8
+
+// attempt is one debit at one or several holders. Only the goroutine that runs collect uses it.
 type attempt struct {
 	ledger  *Ledger
 	account string
@@ -27,7 +30,11 @@
 	// answers holds what the holders that answered had.
 	answers []answer
 	// asked holds the boot ids of the holders that were asked.
-	asked map[string]bool
+	asked []string
+	// open holds the remote calls without a reply, by request id.
+	open map[string]call
+	// replies receives the replies of remote calls; it has room for all of them.
+	replies chan reply
 	// moved says that a process was asked that no longer holds a share, so that a newer assignment must exist.
 	moved bool
 }
@@ -40,41 +47,77 @@
 	rate  float64
 }
 
-// collect asks holders until the amount is complete, every holder was asked, or the time is over.
-func (a *attempt) collect(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, a.start.Add(holder.Lag))
-	defer cancel()
-
-	a.asked = map[string]bool{}
+// call is one request to one holder.
+type call struct {
+	from    candidate
+	request *rpc.DebitRequest
+}
 
-	for a.taken < a.amount && ctx.Err() == nil {
-		changed := a.ledger.Board.Shares.Changed()
-		assignment := a.ledger.Board.Shares.Value()[a.account]
+type reply struct {
+	call   call
+	answer *rpc.DebitReply
+	err    error
+}
 
+// collect asks one holder after the other until the amount is complete, every holder was asked, or the time is over.
+// A holder that takes too long does not keep the others from being asked, and its reply still counts in time.
+func (a *attempt) collect(ctx context.Context) {
+	for a.taken < a.amount && ctx.Err() == nil && !a.late() {
+		changed, assignment := a.assignment()
 		waiting := a.ledger.candidates(assignment, a.limits, a.asked)
-		if next, ok := fullest(waiting); ok && (next.fill >= 0 || len(a.answers) == 0) {
+
+		next, ok := fullest(waiting)
+		if ok && len(a.asked) < maxCalls && (next.fill >= 0 || len(a.answers) == 0) {
 			a.ask(ctx, assignment, next, len(waiting))
 			continue
 		}
 
-		if !a.moved && len(assignment.Holders) > 0 {
-			return
+		if len(a.open) == 0 && !a.moved && len(assignment.Holders) > 0 {
+			break
 		}
 
-		a.moved = false
+		if !a.await(ctx, changed) {
+			break
+		}
+	}
+
+	a.giveUp()
+}
+
+// assignment returns the account's assignment and, if it may be outdated, a channel that is closed when it changes.
+func (a *attempt) assignment() (<-chan struct{}, board.Assignment) {
+	shares := &a.ledger.Board.Shares
+	assignment := shares.Value()[a.account]
 
-		a.refresh(ctx, changed)
+	if !a.moved && len(assignment.Holders) > 0 {
+		return nil, assignment
 	}
+
+	changed := shares.Changed()
+
+	return changed, shares.Value()[a.account]
 }
 
-func (a *attempt) refresh(ctx context.Context, changed <-chan struct{}) {
-	if a.ledger.Stale != nil {
+// await waits for a reply or a newer assignment; it reports false when the time is over.
+func (a *attempt) await(ctx context.Context, changed <-chan struct{}) bool {
+	if changed != nil && a.ledger.Stale != nil {
 		a.ledger.Stale(a.account)
 	}
 
+	over := time.NewTimer(a.remaining())
+	defer over.Stop()
+
 	select {
-	case <-ctx.Done():
+	case got := <-a.replies:
+		a.receive(got)
+		return true
 	case <-changed:
+		a.moved = false
+		return true
+	case <-over.C:
+		return false
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -90,50 +133,121 @@
 
 // ask debits one holder. With others left to ask, it waits only for its part of the remaining time.
 func (a *attempt) ask(ctx context.Context, assignment board.Assignment, from candidate, left int) {
-	a.asked[from.holder.Boot] = true
+	a.asked = append(a.asked, from.holder.Boot)
 
 	missing := a.amount - a.taken
-	request := &rpc.DebitRequest{
-		RequestId: fmt.Sprintf("%s/%d", a.id, len(a.asked)),
+	next := call{from: from, request: &rpc.DebitRequest{
+		RequestId: a.id + "/" + strconv.Itoa(len(a.asked)),
 		Account:   a.account,
 		Amount:    missing,
 		Epoch:     assignment.Epoch,
+	}}
+
+	a.ledger.expect(a.account, from.holder.Boot, missing)
+
+	if a.ledger.isLocal(from.holder) {
+		answer, err := a.ledger.Local.Debit(ctx, next.request)
+		a.receive(reply{call: next, answer: answer, err: err})
+
+		return
 	}
 
-	remaining := time.Until(a.start.Add(holder.Lag))
+	a.send(next)
 
-	ctx, cancel := context.WithTimeout(ctx, remaining/time.Duration(left))
-	defer cancel()
+	step := time.NewTimer(a.remaining() / time.Duration(left))
+	defer step.Stop()
 
-	a.ledger.expect(a.account, from.holder.Boot, missing)
+	select {
+	case got := <-a.replies:
+		a.receive(got)
+	case <-step.C:
+		a.ledger.unanswered(a.account, from.holder.Boot)
+	case <-ctx.Done():
+	}
+}
+
+// send starts a remote call that ends when the time is over.
+func (a *attempt) send(next call) {
+	if a.open == nil {
+		a.open = map[string]call{}
+		a.replies = make(chan reply, maxCalls)
+	}
 
-	reply, err := a.ledger.debit(ctx, from.holder, request)
-	if err != nil || a.late() {
+	a.open[next.request.RequestId] = next
+	replies := a.replies
+	deadline := a.start.Add(holder.Lag)
+
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+
+		answer, err := rpc.NewDRPCLimitClient(a.ledger.Pool.Get(next.from.holder.Address)).Debit(ctx, next.request)
+		replies <- reply{call: next, answer: answer, err: err}
+	}()
+}
+
+// receive counts a reply that comes in time.
+func (a *attempt) receive(got reply) {
+	from := got.call.from
+	request := got.call.request
+	late := a.late()
+	delete(a.open, request.RequestId)
+
+	if got.err != nil && !late {
 		a.ledger.unanswered(a.account, from.holder.Boot)
-		a.ledger.giveBack(a.account, part{holder: from.holder, id: request.RequestId, taken: missing}, missing)
+	}
 
+	// A debit may have been made although its reply is an error.
+	if got.err != nil || late {
+		a.ledger.giveBack(a.account, part{holder: from.holder, id: request.RequestId}, request.Amount)
 		return
 	}
 
-	a.count(from, request, reply)
+	if got.answer.Status != rpc.DebitStatus_DEBIT_TAKEN {
+		a.moved = true
+		return
+	}
+
+	taken := min(max(got.answer.Taken, 0), request.Amount)
+	a.ledger.answered(a.account, from.holder.Boot, got.answer.Level, got.answer.Cap)
+	a.answers = append(a.answers, answer{
+		level: float64(got.answer.Level + taken),
+		size:  float64(got.answer.Cap),
+		rate:  from.rate,
+	})
+
+	a.keep(part{holder: from.holder, id: request.RequestId, taken: taken})
 }
 
-func (a *attempt) count(from candidate, request *rpc.DebitRequest, reply *rpc.DebitReply) {
-	if reply.Status != rpc.DebitStatus_DEBIT_TAKEN {
-		a.moved = true
+// keep adds a part. A reply that comes after other holders were asked can bring more than is missing; the surplus is
+// returned at once, and because a debit is refunded once, the rest of that part is not refunded later.
+func (a *attempt) keep(got part) {
+	if got.taken == 0 {
 		return
 	}
 
-	taken := min(max(reply.Taken, 0), request.Amount)
-	a.ledger.answered(a.account, from.holder.Boot, reply.Level, reply.Cap)
-	a.answers = append(a.answers, answer{level: float64(reply.Level + taken), size: float64(reply.Cap), rate: from.rate})
+	if surplus := a.taken + got.taken - a.amount; surplus > 0 {
+		a.ledger.giveBack(a.account, got, surplus)
+		got.taken -= surplus
+		got.final = true
+	}
+
+	a.taken += got.taken
+	a.parts = append(a.parts, got)
+}
 
-	if taken > 0 {
-		a.taken += taken
-		a.parts = append(a.parts, part{holder: from.holder, id: request.RequestId, taken: taken})
+// giveUp refunds the calls without a reply.
+func (a *attempt) giveUp() {
+	for id, one := range a.open {
+		a.ledger.giveBack(a.account, part{holder: one.from.holder, id: id}, one.request.Amount)
 	}
 }
 
+// remaining returns the time in which replies still count.
+func (a *attempt) remaining() time.Duration {
+	return max(time.Until(a.start.Add(holder.Lag)), 0)
+}
+
 // late reports whether the time in which a debit counts is over.
 func (a *attempt) late() bool {
 	return time.Since(a.start) > holder.Lag
@@ -141,8 +255,10 @@
 
 // abandon gives back what was taken.
 func (a *attempt) abandon() {
-	for _, taken := range a.parts {
-		a.ledger.giveBack(a.account, taken, taken.taken)
+	for _, one := range a.parts {
+		if !one.final {
+			a.ledger.giveBack(a.account, one, one.taken)
+		}
 	}
 }
 
--- a/internal/limit/ledger/call.go
+++ b/internal/limit/ledger/call.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/holder"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
@@ -18,50 +16,15 @@
 	refundPause = 500 * time.Millisecond
 )
 
-type result[T any] struct {
-	reply T
-	err   error
-}
-
-// debit calls a holder and returns at the latest when the context ends, even if the connection does not.
-func (l *Ledger) debit(ctx context.Context, to board.Holder, request *rpc.DebitRequest) (*rpc.DebitReply, error) {
-	if l.isLocal(to) {
-		return l.Local.Debit(ctx, request)
-	}
-
-	return bounded(ctx, func() (*rpc.DebitReply, error) {
-		return rpc.NewDRPCLimitClient(l.Pool.Get(to.Address)).Debit(ctx, request)
-	})
-}
-
 func (l *Ledger) refund(to board.Holder, request *rpc.RefundRequest) error {
 	ctx, cancel := context.WithTimeout(context.Background(), holder.Lag)
 	defer cancel()
 
-	_, err := bounded(ctx, func() (*rpc.RefundReply, error) {
-		return rpc.NewDRPCLimitClient(l.Pool.Get(to.Address)).Refund(ctx, request)
-	})
+	_, err := rpc.NewDRPCLimitClient(l.Pool.Get(to.Address)).Refund(ctx, request)
 
 	return err
 }
 
-func bounded[T any](ctx context.Context, call func() (T, error)) (T, error) {
-	done := make(chan result[T], 1)
-
-	go func() {
-		reply, err := call()
-		done <- result[T]{reply, err}
-	}()
-
-	select {
-	case got := <-done:
-		return got.reply, got.err
-	case <-ctx.Done():
-		var none T
-		return none, errors.Wrap(ctx.Err(), "call holder")
-	}
-}
-
 func (l *Ledger) isLocal(to board.Holder) bool {
 	return l.Local != nil && l.Local.Boot == to.Boot
 }
--- a/internal/limit/ledger/hint.go
+++ b/internal/limit/ledger/hint.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/bucket"
@@ -13,6 +14,8 @@
 	firstBackoff = 250 * time.Millisecond
 	// maxBackoff bounds the doubling of firstBackoff.
 	maxBackoff = 4 * time.Second
+	// hintLimit bounds the hints, because boot ids come and go; a lost hint costs one badly chosen order.
+	hintLimit = 1 << 14
 	// unknownFill ranks a holder that has not answered yet above half-empty ones.
 	unknownFill = 0.5
 )
@@ -30,7 +33,7 @@
 	at    time.Time
 	// failures counts the calls without an answer since the last answer.
 	failures int
-	// asked is the time of the last failure.
+	// failed is the time of the last failure.
 	failed time.Time
 }
 
@@ -44,7 +47,7 @@
 }
 
 // candidates returns the holders of an assignment that were not asked yet, with their expected fill.
-func (l *Ledger) candidates(assignment board.Assignment, limits terms.Terms, asked map[string]bool) []candidate {
+func (l *Ledger) candidates(assignment board.Assignment, limits terms.Terms, asked []string) []candidate {
 	now := time.Now()
 	found := make([]candidate, 0, len(assignment.Holders))
 
@@ -52,7 +55,7 @@
 	defer l.mu.Unlock()
 
 	for i, holder := range assignment.Holders {
-		if asked[holder.Boot] {
+		if slices.Contains(asked, holder.Boot) {
 			continue
 		}
 
@@ -99,7 +102,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.hints == nil {
+	if l.hints == nil || len(l.hints) >= hintLimit {
 		l.hints = map[hintKey]hint{}
 	}
 
--- a/internal/limit/ledger/ledger.go
+++ b/internal/limit/ledger/ledger.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -36,6 +38,10 @@
 	hints map[hintKey]hint
 	// returns counts the running refunds.
 	returns sync.WaitGroup
+	// prefix and count make the ids of debits; a random id for each would take longer than the rest of a local debit.
+	prefix string
+	once   sync.Once
+	count  atomic.Int64
 }
 
 // Charge is what a request was debited.
@@ -57,6 +63,8 @@
 	id string
 	// taken is in tokens.
 	taken int64
+	// final says that the debit has been refunded before.
+	final bool
 }
 
 // Debit takes the amount of tokens from the account, or nothing and returns a fault of kind RateLimited with the time
@@ -72,7 +80,7 @@
 		account: account,
 		amount:  amount,
 		limits:  limits,
-		id:      ident.New("debit"),
+		id:      l.nextID(),
 		start:   time.Now(),
 	}
 
@@ -90,6 +98,12 @@
 	return &Charge{Account: account, Amount: amount, parts: attempt.parts}, nil
 }
 
+func (l *Ledger) nextID() string {
+	l.once.Do(func() { l.prefix = ident.New("debit") + "/" })
+
+	return l.prefix + strconv.FormatInt(l.count.Add(1), 10)
+}
+
 func (l *Ledger) check(account string, amount int64) (terms.Terms, error) {
 	doc := l.Board.Document.Value()
 
@@ -120,6 +134,10 @@
 
 	// The holder that was asked last was believed the least full, so it has the most room for a credit.
 	for i := len(charge.parts) - 1; i >= 0 && unused > 0; i-- {
+		if charge.parts[i].final {
+			continue
+		}
+
 		amount := min(unused, charge.parts[i].taken)
 		unused -= amount
 		l.giveBack(charge.Account, charge.parts[i], amount)
