Leave empty times out of the encoded fleet document

A zero time was written as year 1 in every edit, in the audit trail and in ctl output. Domain, VM and Exception now use omitzero. Duration reads YAML as well, so that a fleet file's error names the line.

--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -60,8 +60,8 @@
 	// Reason is required.
 	Reason string `json:"reason"`
 	// Author and Time are filled in when the exception is committed.
-	Author string    `json:"author"`
-	Time   time.Time `json:"time"`
+	Author string    `json:"author,omitempty"`
+	Time   time.Time `json:"time,omitzero"`
 }
 
 // Patch overrides the fields of Default that are set.
@@ -102,14 +102,14 @@
 	// Reason is required when Out is set.
 	Reason string `json:"reason,omitempty"`
 	// Since is when the state last changed; it starts the gradual return.
-	Since time.Time `json:"since"`
+	Since time.Time `json:"since,omitzero"`
 }
 
 // VM is the state of one VM.
 type VM struct {
 	Out    bool      `json:"out,omitempty"`
 	Reason string    `json:"reason,omitempty"`
-	Since  time.Time `json:"since"`
+	Since  time.Time `json:"since,omitzero"`
 }
 
 // Model is a base model.
--- a/internal/config/document/duration.go
+++ b/internal/config/document/duration.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
@@ -31,3 +35,26 @@
 
 	return nil
 }
+
+// UnmarshalYAML implements yaml.NodeUnmarshaler; a number without a unit is an error with its line.
+func (d *Duration) UnmarshalYAML(node ast.Node) error {
+	text, ok := node.(*ast.StringNode)
+	if !ok {
+		return durationError(node)
+	}
+
+	value, err := time.ParseDuration(text.Value)
+	if err != nil {
+		return durationError(node)
+	}
+
+	*d = Duration(value)
+
+	return nil
+}
+
+func durationError(node ast.Node) error {
+	message := fmt.Sprintf("duration %s: want a number with a unit, such as \"30s\"", node)
+
+	return &yaml.SyntaxError{Message: message, Token: node.GetToken()}
+}
