--- /dev/null
+++ b/internal/config/document/validate.go
@@ -0,0 +1,296 @@
+package document
+
+import (
+	"encoding/hex"
+	"maps"
+	"math"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// hashLength is the length of a SHA-256 in hex.
+const hashLength = 64
+
+// word is the form of every name: lower-case letters, digits, hyphens and dots.
+var word = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// sections lists the sections in the order in which their items may refer to each other.
+var sections = []Section{
+	SectionDefault, SectionModel, SectionRoute, SectionAccount, SectionAdapter, SectionException, SectionKey,
+	SectionDomain, SectionVM,
+}
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+// IsWord reports whether a text may be used as a name.
+func IsWord(text string) bool {
+	return word.MatchString(text)
+}
+
+// Validate checks the whole document.
+func (d *Document) Validate() error {
+	check := checker{document: d, every: true}
+	check.run()
+
+	return check.problems.Err()
+}
+
+// validateChange checks what the edits may have broken. Adapters are many, so unchanged ones are checked only when an
+// item that they can refer to was deleted.
+func validateChange(from, to *Document, edits []Edit) Problems {
+	check := checker{document: to}
+
+	for _, edit := range edits {
+		deleted := len(edit.Value) == 0
+
+		switch edit.Section {
+		case SectionAdapter:
+			check.adapters = append(check.adapters, edit.Name)
+		case SectionModel, SectionAccount:
+			check.every = check.every || deleted
+		case SectionKey:
+			check.keyEdit(from, edit.Name, deleted)
+		}
+	}
+
+	check.run()
+
+	return check.problems
+}
+
+// checkEdits checks the edits themselves, before they are applied.
+func checkEdits(edits []Edit) Problems {
+	var problems Problems
+
+	type item struct {
+		section Section
+		name    string
+	}
+
+	seen := map[item]bool{}
+
+	if len(edits) == 0 {
+		problems.add("change", "", "edits", "no edits")
+	}
+
+	for _, edit := range edits {
+		key := item{edit.Section, edit.Name}
+
+		switch {
+		case !slices.Contains(sections, edit.Section):
+			problems.add(edit.Section, edit.Name, "", "unknown section")
+		case seen[key]:
+			problems.add(edit.Section, edit.Name, "", "edited twice in one change")
+		case edit.Section == SectionDefault && (edit.Name != DefaultName || len(edit.Value) == 0):
+			problems.add(edit.Section, edit.Name, "", "the only item is %q and cannot be deleted", DefaultName)
+		}
+
+		seen[key] = true
+	}
+
+	return problems
+}
+
+type checker struct {
+	document *Document
+	// every checks all adapters and not only those listed.
+	every    bool
+	adapters []string
+	problems Problems
+	// wrongDefaults is set once the defaults were found to be wrong.
+	wrongDefaults bool
+}
+
+func (c *checker) run() {
+	d := c.document
+	before := len(c.problems)
+
+	c.defaults(SectionDefault, DefaultName, "", d.Default)
+	c.wrongDefaults = len(c.problems) > before
+	each(c, SectionModel, d.Models, c.model)
+	each(c, SectionRoute, d.Routes, c.route)
+	each(c, SectionAccount, d.Accounts, c.account)
+	each(c, SectionException, d.Exceptions, c.exception)
+	each(c, SectionKey, d.Keys, c.key)
+	each(c, SectionDomain, d.Domains, func(name string, item Domain) { c.state(SectionDomain, name, item.Out, item.Reason) })
+	each(c, SectionVM, d.VMs, func(name string, item VM) { c.state(SectionVM, name, item.Out, item.Reason) })
+	each(c, SectionAdapter, c.changedAdapters(), c.adapter)
+	c.samePaths()
+	c.sameFields()
+	c.sameHashes()
+}
+
+// each checks the items of a section in order of name, so that the messages come in a stable order.
+func each[T any](c *checker, section Section, items map[string]T, check func(name string, item T)) {
+	for _, name := range slices.Sorted(maps.Keys(items)) {
+		if !IsWord(name) {
+			c.problems.add(section, name, "", "want a name of lower-case letters, digits, hyphens and dots")
+			continue
+		}
+
+		check(name, items[name])
+	}
+}
+
+func (c *checker) changedAdapters() map[string]Adapter {
+	if c.every {
+		return c.document.Adapters
+	}
+
+	changed := map[string]Adapter{}
+
+	for _, name := range c.adapters {
+		if adapter, ok := c.document.Adapters[name]; ok {
+			changed[name] = adapter
+		}
+	}
+
+	return changed
+}
+
+func (c *checker) defaults(section Section, name, prefix string, d Default) {
+	above := func(field string, ok bool) {
+		if !ok {
+			c.problems.add(section, name, prefix+field, "must be above 0")
+		}
+	}
+
+	above("timeout", d.Timeout > 0)
+	above("output", d.Output > 0)
+	above("body", d.Body > 0)
+	above("limit", d.Limit > 0)
+	above("ramp", d.Ramp > 0)
+	above("weight", positive(d.Weight))
+
+	if d.Queue < 0 {
+		c.problems.add(section, name, prefix+"queue", "must not be below 0")
+	}
+
+	if d.Ramp > d.Limit {
+		c.problems.add(section, name, prefix+"ramp", "%d is above limit %d", d.Ramp, d.Limit)
+	}
+}
+
+func positive(value float64) bool {
+	return value > 0 && !math.IsInf(value, 0) && !math.IsNaN(value)
+}
+
+func (c *checker) model(name string, model Model) {
+	if model.Context <= 0 {
+		c.problems.add(SectionModel, name, "context", "must be above 0")
+	}
+}
+
+func (c *checker) route(name string, route Route) {
+	if !strings.HasPrefix(route.Path, "/") {
+		c.problems.add(SectionRoute, name, "path", "%q does not start with /", route.Path)
+	}
+
+	if strings.HasPrefix(route.Path, "/ops/") {
+		c.problems.add(SectionRoute, name, "path", "/ops/ is the operator API")
+	}
+
+	if route.Service != "" && !IsWord(route.Service) {
+		c.problems.add(SectionRoute, name, "service", "%q is not a name", route.Service)
+	}
+
+	if route.Open && route.Service == "" {
+		c.problems.add(SectionRoute, name, "open", "a completion route needs a key")
+	}
+
+	c.routeCost(name, route)
+	c.routeMethods(name, route)
+}
+
+func (c *checker) routeCost(name string, route Route) {
+	if route.Cost < 0 {
+		c.problems.add(SectionRoute, name, "cost", "must not be below 0")
+	}
+
+	if route.Open && route.Cost != 0 {
+		c.problems.add(SectionRoute, name, "cost", "must be 0 on an open route")
+	}
+}
+
+func (c *checker) routeMethods(name string, route Route) {
+	if len(route.Methods) == 0 {
+		c.problems.add(SectionRoute, name, "methods", "is empty")
+	}
+
+	for _, method := range route.Methods {
+		if !slices.Contains(methods, method) {
+			c.problems.add(SectionRoute, name, "methods", "%q is not an HTTP method", method)
+		}
+	}
+}
+
+func (c *checker) account(name string, account Account) {
+	if !positive(account.Rate) {
+		c.problems.add(SectionAccount, name, "rate", "must be above 0 tokens per second")
+	}
+
+	if account.Burst <= 0 {
+		c.problems.add(SectionAccount, name, "burst", "must be above 0 tokens")
+	}
+
+	for _, route := range account.Routes {
+		if _, ok := c.document.Routes[route]; !ok {
+			c.problems.add(SectionAccount, name, "routes", "there is no route %q", route)
+		}
+	}
+}
+
+func (c *checker) adapter(name string, adapter Adapter) {
+	if _, ok := c.document.Models[adapter.Model]; !ok {
+		c.problems.add(SectionAdapter, name, "model", "there is no model %q", adapter.Model)
+	}
+
+	if len(adapter.Versions) == 0 {
+		c.problems.add(SectionAdapter, name, "versions", "is empty")
+	}
+
+	for _, version := range adapter.Versions {
+		if !IsWord(version) {
+			c.problems.add(SectionAdapter, name, "versions", "%q is not a name", version)
+		}
+	}
+
+	if !slices.Contains(adapter.Versions, adapter.Pin) {
+		c.problems.add(SectionAdapter, name, "pin", "%q is not among the versions", adapter.Pin)
+	}
+
+	for _, account := range adapter.Accounts {
+		if _, ok := c.document.Accounts[account]; !ok {
+			c.problems.add(SectionAdapter, name, "accounts", "there is no account %q", account)
+		}
+	}
+}
+
+func (c *checker) state(section Section, name string, out bool, reason string) {
+	if out && strings.TrimSpace(reason) == "" {
+		c.problems.add(section, name, "reason", "is required to take it out of service")
+	}
+}
+
+func (c *checker) samePaths() {
+	owner := map[string]string{}
+
+	for _, name := range slices.Sorted(maps.Keys(c.document.Routes)) {
+		path := c.document.Routes[name].Path
+		if other, ok := owner[path]; ok {
+			c.problems.add(SectionRoute, name, "path", "%q is the path of route %q as well", path, other)
+		}
+
+		owner[path] = name
+	}
+}
+
+func validHash(hash string) bool {
+	_, err := hex.DecodeString(hash)
+
+	return err == nil && len(hash) == hashLength && hash == strings.ToLower(hash)
+}
--- /dev/null
+++ b/internal/config/follow/follow.go
@@ -0,0 +1,260 @@
+// Package follow keeps the board's document up to date from the table and from peers, and says how fresh it is.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+const (
+	// EntryPeriod is the time between polls of an entry.
+	EntryPeriod = 1500 * time.Millisecond
+	// AgentPeriod is the time between polls of an agent; agents are confirmed by requests as well.
+	AgentPeriod = 2 * time.Second
+	// MaxAge is the age of the last confirmation beyond which a process refuses keyed work.
+	MaxAge = 5 * time.Second
+	// jitter spreads the polls of the fleet over time.
+	jitter = 0.2
+	// callTimeout bounds a read of the head and a call to a peer, so that several fit into MaxAge.
+	callTimeout = time.Second
+	// readTimeout bounds reading the log or a snapshot.
+	readTimeout = 20 * time.Second
+)
+
+var logger = logrus.WithField("component", "config")
+
+// Self describes an entry process to its peers.
+type Self struct {
+	// Name is the platform's name of the VM.
+	Name string
+	// Address is the own drpc address, as in the VM list.
+	Address string
+	Boot    string
+	Domain  string
+}
+
+// Caller calls Peer.Sync at an address.
+type Caller interface {
+	Sync(ctx context.Context, address string, request *rpc.SyncRequest) (*rpc.SyncReply, error)
+}
+
+// Follower is the controller that writes the document, its freshness, the held revocations and the peers to the board.
+type Follower struct {
+	Board *board.Board
+	Store *store.Store
+	// Self is set in entries only; agents have no peers.
+	Self Self
+	// Peers is nil in agents.
+	Peers Caller
+	// Period is the time between polls.
+	Period time.Duration
+
+	// mu guards the fields below and orders the writes to the board.
+	mu        sync.Mutex
+	fresh     Freshness
+	history   history
+	reachable bool
+	// pulling holds one token while the table is being read, so that concurrent callers share the result.
+	pulling     chan struct{}
+	wake        chan struct{}
+	snapshotted int64
+	once        sync.Once
+}
+
+// Run polls until the context ends. Table, peers and snapshots have loops of their own, so that a slow store does not
+// delay the confirmation by peers.
+func (f *Follower) Run(ctx context.Context) error {
+	f.init()
+
+	var loops sync.WaitGroup
+
+	loops.Go(func() { f.loop(ctx, f.wake, f.refreshTable) })
+
+	if f.Peers != nil {
+		loops.Go(func() { f.loop(ctx, nil, f.refreshPeers) })
+		loops.Go(func() { f.loop(ctx, nil, f.snapshot) })
+	}
+
+	loops.Wait()
+
+	return nil
+}
+
+func (f *Follower) loop(ctx context.Context, wake <-chan struct{}, step func(context.Context)) {
+	for ctx.Err() == nil {
+		step(ctx)
+
+		select {
+		case <-ctx.Done():
+		case <-wake:
+		case <-time.After(f.pause()):
+		}
+	}
+}
+
+func (f *Follower) refreshTable(ctx context.Context) {
+	if err := f.pull(ctx); err == nil {
+		f.publishFresh()
+		f.commitHeld(ctx)
+	}
+}
+
+func (f *Follower) refreshPeers(ctx context.Context) {
+	f.syncDomains(ctx)
+	f.publishFresh()
+}
+
+// CatchUp brings the document to at least the version, from the table and, in an entry, from peers.
+func (f *Follower) CatchUp(ctx context.Context, version int64) error {
+	f.init()
+
+	if f.version() >= version {
+		return nil
+	}
+
+	err := f.pull(ctx)
+
+	if f.version() < version && f.Peers != nil {
+		f.syncDomains(ctx)
+	}
+
+	f.publishFresh()
+
+	if now := f.version(); now < version {
+		return fault.Wrap(err, fault.StaleConfig, "version %d is needed and %d is the newest that could be read", version, now)
+	}
+
+	return nil
+}
+
+// CatchUpHead brings the document to the newest committed version.
+func (f *Follower) CatchUpHead(ctx context.Context) error {
+	f.init()
+
+	err := f.pull(ctx)
+	f.publishFresh()
+
+	return err
+}
+
+// Confirm notes that another process confirmed the version at the given age. The caller adds to the age the longest time
+// for which the message may have been on its way.
+func (f *Follower) Confirm(version int64, age time.Duration) {
+	if age < 0 || version != f.version() {
+		return
+	}
+
+	f.mu.Lock()
+	f.fresh.ConfirmTable(time.Now().Add(-age))
+	f.mu.Unlock()
+
+	f.publishFresh()
+}
+
+// Reached returns when this process first had the version or a later one, and false if it has not.
+func (f *Follower) Reached(version int64) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.version() < version {
+		return time.Time{}, false
+	}
+
+	return f.history.reached(version), true
+}
+
+// Adopt takes over a document that this process has committed itself.
+func (f *Follower) Adopt(next *document.Document, change document.Change) {
+	f.apply(next, []document.Change{change})
+}
+
+func (f *Follower) init() {
+	f.once.Do(func() {
+		f.pulling = make(chan struct{}, 1)
+		f.wake = make(chan struct{}, 1)
+		f.fresh.Domain = f.Self.Domain
+		f.reachable = true
+	})
+}
+
+func (f *Follower) pause() time.Duration {
+	factor := 1 - jitter + 2*jitter*rand.Float64()
+
+	return time.Duration(float64(f.Period) * factor)
+}
+
+// version is -1 before the first document is known.
+func (f *Follower) version() int64 {
+	d := f.Board.Document.Value()
+	if d == nil {
+		return -1
+	}
+
+	return d.Version
+}
+
+// apply puts a document with a higher version on the board. Changes are those that lead to it, if they are known.
+func (f *Follower) apply(next *document.Document, changes []document.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	current := f.Board.Document.Value()
+	if current != nil {
+		if next.Version <= current.Version {
+			return
+		}
+
+		current.CheckNewer(next)
+	}
+
+	f.remember(current, next, changes)
+	f.Board.Document.Set(next)
+	f.dropCommitted(next)
+
+	logger.WithFields(logrus.Fields{"version": next.Version}).Info("configuration is applied")
+}
+
+func (f *Follower) remember(current, next *document.Document, changes []document.Change) {
+	now := time.Now()
+	base := int64(0)
+
+	if current != nil {
+		base = current.Version
+	}
+
+	known := next.Version - base
+	if known > int64(len(changes)) {
+		f.history.reset(now)
+		return
+	}
+
+	f.history.add(changes[int64(len(changes))-known:], now)
+}
+
+// publishFresh writes the confirmation to the board; it never moves back.
+func (f *Follower) publishFresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	version := f.version()
+	if version < 0 {
+		return
+	}
+
+	moment := f.fresh.Confirmed(time.Now(), f.entryDomains())
+	before := f.Board.Fresh.Value()
+
+	if moment.After(before.Confirmed) || version > before.Version {
+		f.Board.Fresh.Set(board.Fresh{Version: version, Confirmed: later(before.Confirmed, moment)})
+	}
+}
--- /dev/null
+++ b/internal/entry/ops/keys.go
@@ -0,0 +1,88 @@
+package ops
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/ops/api"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+func (a *API) grant(c echo.Context) error {
+	var request api.Grant
+	if err := bind(c, &request); err != nil {
+		return err
+	}
+
+	wanted := document.Key{Hash: request.Hash, Account: request.Account}
+
+	return a.item(c, request.Item, func(d *document.Document) ([]document.Edit, error) {
+		old, exists := d.Keys[request.Key]
+
+		switch {
+		case exists && old == wanted:
+			return nil, nil
+		case exists:
+			return nil, fault.New(fault.InvalidRequest, "key %q exists and cannot be granted again", request.Key).WithParam("key")
+		default:
+			return edit(document.SectionKey, request.Key, wanted)
+		}
+	})
+}
+
+// revoke commits a revocation. While the table does not answer, it is held, spread to the other entries and committed
+// later.
+func (a *API) revoke(c echo.Context) error {
+	var request api.Item
+	if err := bind(c, &request); err != nil {
+		return err
+	}
+
+	if err := requireReason(request); err != nil {
+		return err
+	}
+
+	change := newChange(c, request.ID, request.Reason)
+	revocation := board.Revocation{
+		Key: c.Param("name"), Author: change.Author, Reason: change.Reason, Time: change.Time, Change: change.ID,
+	}
+
+	outcome, err := a.commitItem(c.Request().Context(), change, func(d *document.Document) ([]document.Edit, error) {
+		return revokeEdits(d, revocation)
+	})
+
+	switch {
+	case err == nil:
+		return c.JSON(http.StatusOK, outcome)
+	case unanswered(err):
+		a.Follower.Revoke(c.Request().Context(), revocation)
+		return c.JSON(http.StatusAccepted, api.Outcome{Change: change.ID, Held: true})
+	default:
+		return err
+	}
+}
+
+func revokeEdits(d *document.Document, revocation board.Revocation) ([]document.Edit, error) {
+	key, ok := d.Keys[revocation.Key]
+
+	switch {
+	case !ok:
+		return nil, fault.New(fault.NotFound, "there is no key %q", revocation.Key)
+	case key.Revoked:
+		return nil, nil
+	}
+
+	change, err := follow.RevokeChange(d, revocation)
+
+	return change.Edits, err
+}
+
+// unanswered reports whether the table gave no answer, so that the change may or may not have been committed.
+func unanswered(err error) bool {
+	return fault.Is(err, fault.TableUnavailable) || fault.Is(err, fault.OutcomeUnknown) ||
+		fault.Is(err, fault.StaleConfig) || fault.Of(err).Kind == fault.DeadlineExceeded
+}
