--- a/internal/config/document/apply.go
+++ b/internal/config/document/apply.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 )
@@ -127,7 +129,7 @@
 	case SectionRoute:
 		return put(b, edit, &d.Routes, keep[Route])
 	default:
-		return fault.New(fault.InvalidRequest, "unknown section")
+		return errors.New("unknown section")
 	}
 }
 
@@ -169,7 +171,7 @@
 
 func (b *builder) decode(value json.RawMessage, into any) error {
 	if bytes.Equal(bytes.TrimSpace(value), []byte("null")) {
-		return fault.New(fault.InvalidRequest, "value is null; want an object, or no value to delete the item")
+		return errors.New("value is null; want an object, or no value to delete the item")
 	}
 
 	decoder := json.NewDecoder(bytes.NewReader(value))
@@ -177,11 +179,14 @@
 		decoder.DisallowUnknownFields()
 	}
 
-	if err := decoder.Decode(into); err != nil {
-		return fault.Wrap(err, fault.InvalidRequest, "value")
+	err := decoder.Decode(into)
+
+	var known *fault.Error
+	if errors.As(err, &known) {
+		return errors.New(known.Message)
 	}
 
-	return nil
+	return err
 }
 
 func keep[T any](_, item T) T { return item }
--- a/internal/config/document/diff.go
+++ b/internal/config/document/diff.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -97,6 +98,11 @@
 	return item
 }
 
+// Same reports whether two exceptions differ at most in author and time.
+func (e Exception) Same(other Exception) bool {
+	return reflect.DeepEqual(plainException(e), plainException(other))
+}
+
 func plainDomain(item Domain) Domain {
 	item.Since = time.Time{}
 	return item
--- a/internal/config/document/validate.go
+++ b/internal/config/document/validate.go
@@ -53,7 +53,7 @@
 		case SectionModel, SectionAccount:
 			check.every = check.every || deleted
 		case SectionKey:
-			check.keyEdit(from, edit.Name, deleted)
+			check.keyEdit(from, edit)
 		}
 	}
 
--- a/internal/config/document/validate_key.go
+++ b/internal/config/document/validate_key.go
@@ -1,13 +1,16 @@
 package document
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 )
 
 // keyEdit checks that a key only goes from absent to valid to revoked. A key is never deleted, because its id or hash
 // could then be granted again.
-func (c *checker) keyEdit(from *Document, id string, deleted bool) {
+func (c *checker) keyEdit(from *Document, edit Edit) {
+	id := edit.Name
+	deleted := len(edit.Value) == 0
 	old, existed := from.Keys[id]
 	if !existed {
 		if deleted {
@@ -22,6 +25,10 @@
 		return
 	}
 
+	if old.Revoked && !wantsRevoked(edit) {
+		c.problems.add(SectionKey, id, "revoked", "the key is revoked for good; grant another key")
+	}
+
 	now := c.document.Keys[id]
 
 	if now.Hash != old.Hash {
@@ -33,6 +40,13 @@
 	}
 }
 
+// wantsRevoked reads the edit itself, because Apply keeps a revoked key revoked.
+func wantsRevoked(edit Edit) bool {
+	var wanted Key
+
+	return json.Unmarshal(edit.Value, &wanted) == nil && wanted.Revoked
+}
+
 func (c *checker) key(id string, key Key) {
 	if !validHash(key.Hash) {
 		c.problems.add(SectionKey, id, "hash", "want the SHA-256 in 64 lower-case hex digits")
