Announce commits to entries and count peers only while the table is silent

Entries learned of a commit at their next poll, up to 1.8 s later; the committing entry now calls every listed entry. A peer's answer confirms a version only while the own read of the table fails, as the design says. Concurrent catch-ups share one read. ctl waits for a repeated change as well.

--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -27,6 +27,8 @@
 	jitter = 0.2
 	// callTimeout bounds a read of the head and a call to a peer, so that several fit into MaxAge.
 	callTimeout = time.Second
+	// catchUpTimeout bounds the read for a request that needs a newer version.
+	catchUpTimeout = 2 * time.Second
 	// readTimeout bounds reading the log or a snapshot.
 	readTimeout = 20 * time.Second
 )
@@ -48,6 +50,12 @@
 	Sync(ctx context.Context, address string, request *rpc.SyncRequest) (*rpc.SyncReply, error)
 }
 
+// pulled is the last read of the table.
+type pulled struct {
+	began time.Time
+	err   error
+}
+
 // Follower is the controller that writes the document, its freshness, the held revocations and the peers to the board.
 type Follower struct {
 	Board *board.Board
@@ -60,13 +68,16 @@
 	Period time.Duration
 
 	// mu guards the fields below and orders the writes to the board.
-	mu        sync.Mutex
-	fresh     Freshness
-	history   history
-	reachable bool
-	// pulling holds one token while the table is being read, so that concurrent callers share the result.
-	pulling     chan struct{}
-	wake        chan struct{}
+	mu      sync.Mutex
+	fresh   Freshness
+	history history
+	// pulling holds one token while the table is being read, and guards pulled.
+	pulling chan struct{}
+	pulled  pulled
+	// wake makes Run read the table now.
+	wake chan struct{}
+	// announce makes Run call every listed entry now.
+	announce    chan struct{}
 	snapshotted int64
 	once        sync.Once
 }
@@ -78,11 +89,11 @@
 
 	var loops sync.WaitGroup
 
-	loops.Go(func() { f.loop(ctx, f.wake, f.refreshTable) })
+	loops.Go(func() { f.loop(ctx, f.wake, f.refreshTable, f.refreshTable) })
 
 	if f.Peers != nil {
-		loops.Go(func() { f.loop(ctx, nil, f.refreshPeers) })
-		loops.Go(func() { f.loop(ctx, nil, f.snapshot) })
+		loops.Go(func() { f.loop(ctx, f.announce, f.refreshPeers, f.SyncAll) })
+		loops.Go(func() { f.loop(ctx, nil, f.snapshot, nil) })
 	}
 
 	loops.Wait()
@@ -90,14 +101,17 @@
 	return nil
 }
 
-func (f *Follower) loop(ctx context.Context, wake <-chan struct{}, step func(context.Context)) {
-	for ctx.Err() == nil {
-		step(ctx)
+// loop runs a step in each period, and another one whenever it is woken.
+func (f *Follower) loop(ctx context.Context, wake <-chan struct{}, step, woken func(context.Context)) {
+	step(ctx)
 
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-wake:
+			woken(ctx)
 		case <-time.After(f.pause()):
+			step(ctx)
 		}
 	}
 }
@@ -122,7 +136,7 @@
 		return nil
 	}
 
-	err := f.pull(ctx)
+	err := f.pullShared(ctx)
 
 	if f.version() < version && f.Peers != nil {
 		f.syncDomains(ctx)
@@ -141,12 +155,20 @@
 func (f *Follower) CatchUpHead(ctx context.Context) error {
 	f.init()
 
-	err := f.pull(ctx)
+	err := f.pullShared(ctx)
 	f.publishFresh()
 
 	return err
 }
 
+// pullShared reads the table even if the caller goes away, because other callers may share the result.
+func (f *Follower) pullShared(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), catchUpTimeout)
+	defer cancel()
+
+	return f.pull(ctx)
+}
+
 // Confirm notes that another process confirmed the version at the given age. The caller adds to the age the longest time
 // for which the message may have been on its way.
 func (f *Follower) Confirm(version int64, age time.Duration) {
@@ -173,17 +195,28 @@
 	return f.history.reached(version), true
 }
 
-// Adopt takes over a document that this process has committed itself.
+// Adopt takes over a document that this process has committed itself, and announces it to the other entries.
 func (f *Follower) Adopt(next *document.Document, change document.Change) {
+	f.init()
 	f.apply(next, []document.Change{change})
+
+	select {
+	case f.announce <- struct{}{}:
+	default:
+	}
+}
+
+// IsFresh reports whether a process may serve keyed work.
+func IsFresh(fresh board.Fresh, now time.Time) bool {
+	return !fresh.Confirmed.IsZero() && now.Sub(fresh.Confirmed) <= MaxAge
 }
 
 func (f *Follower) init() {
 	f.once.Do(func() {
 		f.pulling = make(chan struct{}, 1)
 		f.wake = make(chan struct{}, 1)
+		f.announce = make(chan struct{}, 1)
 		f.fresh.Domain = f.Self.Domain
-		f.reachable = true
 	})
 }
 
--- a/internal/config/follow/fresh.go
+++ b/internal/config/follow/fresh.go
@@ -12,6 +12,8 @@
 	Domain string
 
 	table time.Time
+	// silent is set while the table does not answer; only then do peers count.
+	silent bool
 	// peers maps a failure domain to the send time of the last call that a peer there answered.
 	peers map[string]time.Time
 }
@@ -21,6 +23,11 @@
 	f.table = later(f.table, at)
 }
 
+// TableAnswers notes whether the last read of the table was answered.
+func (f *Freshness) TableAnswers(ok bool) {
+	f.silent = !ok
+}
+
 // ConfirmPeer notes that a peer knew no newer version at a moment.
 func (f *Freshness) ConfirmPeer(domain string, at time.Time) {
 	if f.peers == nil {
@@ -30,10 +37,11 @@
 	f.peers[domain] = later(f.peers[domain], at)
 }
 
-// Confirmed returns the moment to which the confirmation reaches back. Domains are the failure domains that have
-// entries; none means that they are not known and only the table counts. The own domain counts as confirmed now.
+// Confirmed returns the moment to which the confirmation reaches back. While the table does not answer, a majority of
+// the given failure domains, which are those that have entries, counts as well; the own domain counts as confirmed now.
+// Without domains only the table counts.
 func (f *Freshness) Confirmed(now time.Time, domains []string) time.Time {
-	if len(domains) == 0 {
+	if !f.silent || len(domains) == 0 {
 		return f.table
 	}
 
--- a/internal/config/follow/table.go
+++ b/internal/config/follow/table.go
@@ -12,9 +12,11 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
-// pull reads the head and, if it is newer, the log. A caller that waited for another one's read starts its own, because
-// the other may have begun before the version that this caller needs was committed.
+// pull reads the head and, if it is newer, the log. A caller shares the result of a read that began after its call; an
+// earlier one may have missed the version that this caller needs.
 func (f *Follower) pull(ctx context.Context) error {
+	called := time.Now()
+
 	select {
 	case f.pulling <- struct{}{}:
 	case <-ctx.Done():
@@ -23,10 +25,15 @@
 
 	defer func() { <-f.pulling }()
 
-	err := f.read(ctx)
-	f.noteTable(err)
+	if f.pulled.began.After(called) {
+		return f.pulled.err
+	}
+
+	f.pulled.began = time.Now()
+	f.pulled.err = f.read(ctx)
+	f.noteTable(f.pulled.err)
 
-	return err
+	return f.pulled.err
 }
 
 func (f *Follower) read(ctx context.Context) error {
@@ -126,8 +133,8 @@
 // noteTable logs when the table stops or starts to answer.
 func (f *Follower) noteTable(err error) {
 	f.mu.Lock()
-	changed := f.reachable != (err == nil)
-	f.reachable = err == nil
+	changed := f.fresh.silent == (err == nil)
+	f.fresh.TableAnswers(err == nil)
 	f.mu.Unlock()
 
 	if !changed {
--- a/internal/entry/ops/items.go
+++ b/internal/entry/ops/items.go
@@ -1,10 +1,8 @@
 package ops
 
 import (
-	"encoding/json"
 	"slices"
 
-	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
@@ -96,15 +94,15 @@
 		return err
 	}
 
-	value, err := json.Marshal(document.Exception{
-		Scope: request.Scope, Target: request.Target, Set: request.Set, Reason: request.Reason,
-	})
-	if err != nil {
-		return errors.Wrap(err, "encode exception")
-	}
+	name := c.Param("name")
+	wanted := document.Exception{Scope: request.Scope, Target: request.Target, Set: request.Set, Reason: request.Reason}
+
+	return a.item(c, request.Item, func(d *document.Document) ([]document.Edit, error) {
+		if d.Exceptions[name].Same(wanted) {
+			return nil, nil
+		}
 
-	return a.item(c, request.Item, func(*document.Document) ([]document.Edit, error) {
-		return []document.Edit{{Section: document.SectionException, Name: c.Param("name"), Value: value}}, nil
+		return edit(document.SectionException, name, wanted)
 	})
 }
 
--- a/internal/entry/ops/status.go
+++ b/internal/entry/ops/status.go
@@ -28,10 +28,10 @@
 	}
 
 	fresh := a.Board.Fresh.Value()
-	age := seconds(fresh.Confirmed)
+	now := time.Now()
 
 	return c.JSON(http.StatusOK, api.Status{
-		Entry: a.Name, Version: d.Version, Age: age, Fresh: age >= 0 && age <= follow.MaxAge.Seconds(),
+		Entry: a.Name, Version: d.Version, Age: seconds(fresh.Confirmed), Fresh: follow.IsFresh(fresh, now),
 		Entries: a.entries(d.Version), Domains: a.domains(d), Servers: a.servers(d), Holders: a.holders(),
 		Held: slices.Sorted(maps.Keys(a.Board.Revoked.Value())),
 	})
--- a/internal/ops/ctl/force.go
+++ b/internal/ops/ctl/force.go
@@ -58,7 +58,7 @@
 		return &ExitError{Code: ExitNotInForce, Err: errors.New("accepted, not yet committed")}
 	}
 
-	if outcome.Unchanged || s.wait <= 0 {
+	if s.wait <= 0 {
 		return nil
 	}
 
