Add the agent process: worker, engine orders and server

Hello, Run and Query work end to end for generations and plain-service calls: tickets, checks on arrival and at start, queue, loads on demand, resume and drain. The in-process tests pass with -race: a generation with a load on demand, a call, and an engine that restarts empty.

--- /dev/null
+++ b/internal/agent/server/check.go
@@ -0,0 +1,159 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+const (
+	// freshness is how long after its last confirmation a document may be used for keyed work.
+	freshness = 5 * time.Second
+	// catchUpTimeout bounds the wait for a document version that an entry has and this process lacks.
+	catchUpTimeout = time.Second
+)
+
+// arrival is a request with what is known of it on arrival.
+type arrival struct {
+	request *rpc.RunRequest
+	// deadline is on this process's clock.
+	deadline time.Time
+	// confirmed is when the entry confirmed its document, on this process's clock.
+	confirmed time.Time
+}
+
+func newArrival(now time.Time, request *rpc.RunRequest) *arrival {
+	return &arrival{
+		request:   request,
+		deadline:  now.Add(time.Duration(request.RemainingMs) * time.Millisecond),
+		confirmed: now.Add(-time.Duration(request.ConfigAgeMs) * time.Millisecond),
+	}
+}
+
+// arrive makes the checks on arrival.
+func (s *Server) arrive(ctx context.Context, now time.Time, a *arrival) error {
+	if a.request.Boot != s.boot {
+		return fault.New(fault.BootChanged, "this is agent process %s", s.boot)
+	}
+
+	if err := s.catchUp(ctx, a); err != nil {
+		return err
+	}
+
+	return s.check(now, a)
+}
+
+// check makes the checks that hold both on arrival and at the start of the work.
+func (s *Server) check(now time.Time, a *arrival) error {
+	if s.Board.Draining.Value() {
+		return fault.New(fault.Draining, "the agent is shutting down")
+	}
+
+	if !s.backend.up() {
+		return fault.New(fault.NotReady, "the backend server does not answer")
+	}
+
+	if !s.tickets.check(now, a.request.Entry, a.request.Ticket) {
+		return fault.New(fault.TicketExpired, "the ticket has expired")
+	}
+
+	if !now.Before(a.deadline) {
+		return fault.New(fault.Overloaded, "the deadline has passed")
+	}
+
+	return s.checkDocument(now, a)
+}
+
+func (s *Server) checkDocument(now time.Time, a *arrival) error {
+	doc := s.Board.Document.Value()
+	if doc == nil {
+		return fault.New(fault.NotReady, "no fleet document yet")
+	}
+
+	if doc.Domains[s.Settings.Place.Domain].Out {
+		return fault.New(fault.Draining, "failure domain %s is out of service", s.Settings.Place.Domain)
+	}
+
+	if doc.VMs[s.Settings.Place.VM].Out {
+		return fault.New(fault.Draining, "VM %s is out of service", s.Settings.Place.VM)
+	}
+
+	if a.request.Key == "" {
+		return s.checkOpen(a)
+	}
+
+	key, known := doc.Keys[a.request.Key]
+
+	if !known {
+		return fault.New(fault.KeyUnknown, "no client account has this key")
+	}
+
+	if _, revoked := s.Board.Revoked.Value()[a.request.Key]; revoked || key.Revoked {
+		return fault.New(fault.KeyRevoked, "the key was revoked")
+	}
+
+	if key.Account != a.request.Account {
+		return fault.New(fault.Forbidden, "the key belongs to another client account")
+	}
+
+	return s.checkFresh(now, a)
+}
+
+// checkOpen allows a request without a key only on a route that is open to all.
+func (s *Server) checkOpen(a *arrival) error {
+	if !s.Board.Document.Value().Routes[a.request.Route].Open {
+		return fault.New(fault.KeyMissing, "the route %q needs a key", a.request.Route)
+	}
+
+	return nil
+}
+
+// checkFresh requires a confirmation within the freshness: by this process itself, or by the entry, whose version this
+// process has reached.
+func (s *Server) checkFresh(now time.Time, a *arrival) error {
+	confirmed := s.Board.Fresh.Value().Confirmed
+
+	if a.request.ConfigAgeMs >= 0 && a.confirmed.After(confirmed) {
+		confirmed = a.confirmed
+	}
+
+	if confirmed.IsZero() || now.Sub(confirmed) > freshness {
+		return fault.New(fault.StaleConfig, "the configuration was not confirmed within %s", freshness)
+	}
+
+	return nil
+}
+
+// catchUp brings the document to the entry's version and refuses an entry whose own confirmation is too old.
+func (s *Server) catchUp(ctx context.Context, a *arrival) error {
+	age := time.Duration(a.request.ConfigAgeMs) * time.Millisecond
+
+	if a.request.Key != "" && (age < 0 || age > freshness) {
+		return fault.New(fault.StaleConfig, "the entry's configuration was not confirmed within %s", freshness)
+	}
+
+	if s.version() < a.request.ConfigVersion {
+		ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+		defer cancel()
+
+		if err := s.Source.CatchUp(ctx, a.request.ConfigVersion); err != nil || s.version() < a.request.ConfigVersion {
+			return fault.Wrap(err, fault.StaleConfig, "version %d of the configuration is not known here", a.request.ConfigVersion)
+		}
+	}
+
+	if a.request.Key != "" {
+		s.Source.Confirm(a.request.ConfigVersion, a.confirmed)
+	}
+
+	return nil
+}
+
+func (s *Server) version() int64 {
+	if doc := s.Board.Document.Value(); doc != nil {
+		return doc.Version
+	}
+
+	return 0
+}
--- /dev/null
+++ b/internal/agent/server/fake_test.go
@@ -0,0 +1,301 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+// fakeEngine is an engine in memory. Its fields are changed under mu.
+type fakeEngine struct {
+	mu       sync.Mutex
+	boot     string
+	slots    int
+	cold     bool
+	fencing  bool
+	down     bool
+	loadErr  error
+	loadTime time.Duration
+	// pace is the time for each event, events the number of events of an answer.
+	pace   time.Duration
+	events int64
+	// change may replace an event on the first stream of a request; nil ends the stream there.
+	change func(event engine.Event) *engine.Event
+
+	resident []engine.Adapter
+	running  map[string]engine.Request
+	orders   []engine.Order
+	canceled []string
+	asked    []string
+	most     int
+	problems []string
+}
+
+func newFake() *fakeEngine {
+	return &fakeEngine{boot: "run-1", slots: 2, loadTime: 250 * time.Millisecond, pace: 10 * time.Millisecond, events: 5, running: map[string]engine.Request{}}
+}
+
+func (f *fakeEngine) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeEngine) Info(context.Context) (engine.Info, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.down {
+		return engine.Info{}, fault.New(fault.BackendFailed, "down")
+	}
+
+	return engine.Info{Boot: f.boot, Models: []string{"base"}, Slots: f.slots, Batch: 8, Fencing: f.fencing}, nil
+}
+
+func (f *fakeEngine) Report(context.Context) (engine.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	report := engine.Report{Boot: f.boot, Resident: slices.Clone(f.resident), Cold: f.cold}
+	for id, request := range f.running {
+		report.Running = append(report.Running, engine.Running{ID: id, Adapter: request.Adapter})
+	}
+
+	return report, nil
+}
+
+func (f *fakeEngine) Order(_ context.Context, order engine.Order) error {
+	f.mu.Lock()
+	pause := f.loadTime
+	f.mu.Unlock()
+
+	if order.Action == engine.ActionLoad {
+		time.Sleep(pause)
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, order)
+
+	if order.Action == engine.ActionUnload {
+		for id, request := range f.running {
+			if request.Adapter == order.Adapter {
+				f.problems = append(f.problems, "unloaded in use by "+id)
+			}
+		}
+
+		f.resident = slices.DeleteFunc(f.resident, func(a engine.Adapter) bool { return a == order.Adapter })
+
+		return nil
+	}
+
+	if f.loadErr != nil {
+		return f.loadErr
+	}
+
+	if !slices.Contains(f.resident, order.Adapter) {
+		f.resident = append(f.resident, order.Adapter)
+	}
+
+	if len(f.resident) > f.slots {
+		f.problems = append(f.problems, "too many adapters")
+	}
+
+	return nil
+}
+
+func (f *fakeEngine) Generate(ctx context.Context, request engine.Request) (engine.Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if !slices.Contains(f.resident, request.Adapter) {
+		return nil, fault.New(fault.NotFound, "not resident")
+	}
+
+	f.asked = append(f.asked, request.ID)
+	f.running[request.ID] = request
+	f.most = max(f.most, len(f.running))
+
+	return &fakeStream{ctx: ctx, engine: f, request: request, boot: f.boot, change: f.change}, nil
+}
+
+func (f *fakeEngine) Resume(ctx context.Context, id string, seq int64) (engine.Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	request, ok := f.running[id]
+	if !ok {
+		return nil, fault.New(fault.NotFound, "no such request")
+	}
+
+	return &fakeStream{ctx: ctx, engine: f, request: request, boot: f.boot, next: seq}, nil
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.canceled = append(f.canceled, id)
+	delete(f.running, id)
+
+	return nil
+}
+
+// restart empties the engine as a new run.
+func (f *fakeEngine) restart(boot string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.boot = boot
+	f.resident = nil
+	f.running = map[string]engine.Request{}
+}
+
+type fakeStream struct {
+	ctx     context.Context
+	engine  *fakeEngine
+	request engine.Request
+	boot    string
+	next    int64
+	change  func(event engine.Event) *engine.Event
+}
+
+func (s *fakeStream) Next() (engine.Event, error) {
+	s.engine.mu.Lock()
+	pace := s.engine.pace
+	total := s.engine.events
+	s.engine.mu.Unlock()
+
+	select {
+	case <-time.After(pace):
+	case <-s.ctx.Done():
+		return engine.Event{}, s.ctx.Err()
+	}
+
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+
+	if s.boot != s.engine.boot {
+		return engine.Event{}, io.EOF
+	}
+
+	event := engine.Event{ID: s.request.ID, Adapter: s.request.Adapter, Seq: s.next, Text: fmt.Sprintf("%d ", s.next), Tokens: 1}
+
+	if s.next >= total {
+		event = engine.Event{ID: s.request.ID, Adapter: s.request.Adapter, Seq: total, End: true, Finish: "stop", Output: total}
+		delete(s.engine.running, s.request.ID)
+	}
+
+	s.next++
+
+	if s.change != nil {
+		changed := s.change(event)
+		if changed == nil {
+			s.engine.running[s.request.ID] = s.request
+			return engine.Event{}, io.EOF
+		}
+
+		return *changed, nil
+	}
+
+	return event, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// fakeService counts calls to a plain service.
+type fakeService struct {
+	mu    sync.Mutex
+	calls map[string]int
+	took  time.Duration
+	err   error
+}
+
+func (f *fakeService) Call(_ context.Context, request service.Request) (service.Response, error) {
+	f.mu.Lock()
+	took, err := f.took, f.err
+	f.mu.Unlock()
+
+	time.Sleep(took)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if err != nil {
+		return service.Response{}, err
+	}
+
+	f.calls[string(request.Body)]++
+
+	return service.Response{Status: 201, Body: request.Body}, nil
+}
+
+// fakeSource holds the versions that a document source could reach.
+type fakeSource struct {
+	board *board.Board
+	next  *document.Document
+}
+
+func (f *fakeSource) CatchUp(context.Context, int64) error {
+	if f.next == nil {
+		return fault.New(fault.TableUnavailable, "down")
+	}
+
+	f.board.Document.Set(f.next)
+
+	return nil
+}
+
+func (f *fakeSource) Confirm(int64, time.Time) {}
+
+type fakeBudget struct{}
+
+func (fakeBudget) Take(context.Context) error { return nil }
+
+// pipeListener accepts in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) dial(ctx context.Context, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/internal/agent/server/fixture_test.go
@@ -0,0 +1,219 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/agent/server"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+// fixture is an agent process in a synctest bubble.
+type fixture struct {
+	t        *testing.T
+	engine   *fakeEngine
+	service  *fakeService
+	board    *board.Board
+	source   *fakeSource
+	listener *pipeListener
+	stop     context.CancelFunc
+	ended    chan error
+	hello    *rpc.HelloReply
+}
+
+func fleet() *document.Document {
+	return &document.Document{
+		Version: 1,
+		Default: document.Default{Limit: 4, Ramp: 2, Queue: 50},
+		Keys:    map[string]document.Key{"k1": {Account: "a1"}, "k2": {Account: "a2"}},
+		Domains: map[string]document.Domain{"d1": {}},
+		Routes:  map[string]document.Route{"open": {Open: true}},
+	}
+}
+
+// bubble runs a test with an agent in a synctest bubble; the agent is stopped at the end.
+func bubble(t *testing.T, plain bool, test func(f *fixture)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{t: t, board: &board.Board{}, listener: newListener(), ended: make(chan error, 1)}
+		f.source = &fakeSource{board: f.board}
+		f.board.Document.Set(fleet())
+
+		s := &server.Server{
+			Settings: settings.Agent{Server: "s1", Name: "press", Place: settings.Place{VM: "v1", Domain: "d1"}},
+			Table:    &table.Memory{},
+			Listener: f.listener,
+			Board:    f.board,
+			Source:   f.source,
+			Budget:   fakeBudget{},
+		}
+
+		f.engine = newFake()
+		f.service = &fakeService{calls: map[string]int{}, took: 10 * time.Millisecond}
+
+		if plain {
+			s.Caller = f.service
+		} else {
+			s.Engine = f.engine
+		}
+
+		var ctx context.Context
+
+		ctx, f.stop = context.WithCancel(t.Context())
+
+		go func() { f.ended <- s.Run(ctx) }()
+
+		synctest.Wait()
+		f.greet()
+		test(f)
+		f.stop()
+		assert.NilError(t, <-f.ended)
+		f.engine.set(func() { assert.DeepEqual(t, f.engine.problems, []string(nil)) })
+	})
+}
+
+// dial opens a connection of its own, so that a test can cut it.
+func (f *fixture) dial() drpc.Conn {
+	raw, err := f.listener.dial(f.t.Context(), "")
+	assert.NilError(f.t, err)
+
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: conn.ManagerOptions()})
+}
+
+func (f *fixture) client() (rpc.DRPCAgentClient, func()) {
+	c := f.dial()
+	return rpc.NewDRPCAgentClient(c), func() { _ = c.Close() }
+}
+
+// greet takes a fresh ticket.
+func (f *fixture) greet() {
+	client, end := f.client()
+	defer end()
+
+	reply, err := client.Hello(f.t.Context(), &rpc.HelloRequest{RequestId: "h", Entry: "e1"})
+	assert.NilError(f.t, err)
+
+	f.hello = reply
+}
+
+func (f *fixture) generate(id, adapter string) *rpc.RunRequest {
+	return &rpc.RunRequest{
+		RequestId: id, Entry: "e1", Boot: f.hello.Boot, Ticket: f.hello.Ticket.Id, Account: "a1", Key: "k1",
+		ConfigVersion: 1, RemainingMs: 30000, Cost: 5,
+		Work: &rpc.RunRequest_Generate{Generate: &rpc.Generate{Model: "base", Adapter: adapter, Version: "1", MaxTokens: 5}},
+	}
+}
+
+func (f *fixture) call(id, attempt string) *rpc.RunRequest {
+	request := f.generate(id, "")
+	request.Cost = 1
+	request.Work = &rpc.RunRequest_Call{Call: &rpc.Call{
+		Service: "press", Method: "POST", Path: "/order", Body: []byte(attempt), Idempotent: attempt == "", Attempt: attempt,
+	}}
+
+	return request
+}
+
+// result is what an entry sees of one request.
+type result struct {
+	text    string
+	started *rpc.Started
+	done    *rpc.Done
+	refused *rpc.Refused
+	failed  *rpc.Failed
+	load    *rpc.Load
+	// resident is the list sent last.
+	resident []string
+	err      error
+}
+
+// kind summarises a result.
+func (r result) kind() string {
+	switch {
+	case r.done != nil:
+		return "done"
+	case r.refused != nil:
+		return "refused " + r.refused.Kind
+	case r.failed != nil:
+		return "failed " + r.failed.Kind
+	default:
+		return fmt.Sprintf("ended: %v", r.err)
+	}
+}
+
+// run sends a request and reads up to its end.
+func (f *fixture) run(request *rpc.RunRequest) result {
+	client, end := f.client()
+	defer end()
+
+	stream, err := client.Run(f.t.Context())
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, stream.Send(&rpc.RunUp{Body: &rpc.RunUp_Request{Request: request}}))
+
+	return read(stream, -1)
+}
+
+// begin runs a request in the background.
+func (f *fixture) begin(request *rpc.RunRequest) <-chan result {
+	results := make(chan result, 1)
+
+	go func() { results <- f.run(request) }()
+
+	return results
+}
+
+// read reads up to the end, or until a number of chunks was read.
+func read(stream rpc.DRPCAgent_RunClient, chunks int) result {
+	var (
+		r    result
+		text strings.Builder
+	)
+
+	for r.done == nil && r.refused == nil && r.failed == nil && r.err == nil && chunks != 0 {
+		down, err := stream.Recv()
+		if err != nil {
+			r.err = err
+			break
+		}
+
+		if down.Load != nil {
+			r.load = down.Load
+		}
+
+		if down.Load.GetResidentSent() {
+			r.resident = down.Load.Resident
+		}
+
+		switch body := down.Body.(type) {
+		case *rpc.RunDown_Started:
+			r.started = body.Started
+		case *rpc.RunDown_Chunk:
+			text.WriteString(body.Chunk.Text)
+			chunks--
+		case *rpc.RunDown_Done:
+			r.done = body.Done
+		case *rpc.RunDown_Refused:
+			r.refused = body.Refused
+		case *rpc.RunDown_Failed:
+			r.failed = body.Failed
+		}
+	}
+
+	r.text = text.String()
+
+	return r
+}
--- /dev/null
+++ b/internal/agent/server/monitor.go
@@ -0,0 +1,138 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+)
+
+const (
+	// pollInterval is the time between two reads of the engine's report.
+	pollInterval = 500 * time.Millisecond
+	// pollTimeout bounds one read.
+	pollTimeout = time.Second
+	// pollFailures is the number of failed reads in a row after which the engine counts as down.
+	pollFailures = 2
+)
+
+// backend is what is known of the backend server.
+type backend struct {
+	// plain says that it is a plain service, which has no report; it always counts as up.
+	plain bool
+
+	mu       sync.Mutex
+	info     engine.Info
+	known    bool
+	failures int
+}
+
+func (b *backend) up() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.plain || b.known && b.failures < pollFailures
+}
+
+func (b *backend) current() engine.Info {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.info
+}
+
+// update takes the result of a read and reports whether the engine restarted since the one before.
+func (b *backend) update(info engine.Info, err error) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if err != nil {
+		b.failures++
+		return false
+	}
+
+	restarted := b.known && info.Boot != b.info.Boot
+	b.info = info
+	b.known = true
+	b.failures = 0
+
+	return restarted
+}
+
+// monitor reads the engine's state until the context ends.
+func (s *Server) monitor(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+
+	for {
+		s.poll(ctx)
+
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// poll reads the engine's state once. A request whose stream broke calls it before it gives up its place, so that a
+// restart is known before the place is given to the next request.
+func (s *Server) poll(ctx context.Context) {
+	s.polling.Lock()
+	defer s.polling.Unlock()
+
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pollTimeout)
+	defer cancel()
+
+	was := s.backend.up()
+	info, report, err := s.read(ctx)
+	restarted := s.backend.update(info, err)
+
+	if up := s.backend.up(); up != was {
+		logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server, "up": up}).
+			WithError(err).Info("engine state changed")
+		s.setReady("engine", up)
+	}
+
+	if err != nil {
+		return
+	}
+
+	if restarted {
+		logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server}).Warn("engine restarted empty")
+	}
+
+	s.gate.report(time.Now(), state{info: info, report: report, limits: s.limits(), restarted: restarted})
+}
+
+// state is one reading of the engine.
+type state struct {
+	info   engine.Info
+	report engine.Report
+	limits limits
+	// restarted says that the engine runs under a new boot id, with no adapter resident.
+	restarted bool
+}
+
+func (s *Server) read(ctx context.Context) (engine.Info, engine.Report, error) {
+	info, err := s.Engine.Info(ctx)
+	if err != nil {
+		return info, engine.Report{}, fault.Of(err)
+	}
+
+	report, err := s.Engine.Report(ctx)
+	if err != nil {
+		return info, report, fault.Of(err)
+	}
+
+	report.Running = slices.DeleteFunc(report.Running, func(running engine.Running) bool {
+		return s.runs.own(running.ID)
+	})
+
+	return info, report, nil
+}
--- /dev/null
+++ b/internal/agent/worker/call.go
@@ -0,0 +1,31 @@
+package worker
+
+import (
+	"context"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+)
+
+// Call makes one call to a plain service. A call that is not idempotent outlives ctx: it must run to its end, because
+// its outcome is recorded.
+func Call(ctx context.Context, caller service.Caller, request service.Request, idempotent bool) Outcome[service.Response] {
+	if !idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+
+	response, err := caller.Call(ctx, request)
+
+	switch {
+	case err == nil:
+		return Outcome[service.Response]{Value: &response}
+	case fault.Is(err, fault.NoServer):
+		return Outcome[service.Response]{Err: fault.Wrap(err, fault.NoServer, "the service cannot be reached"), Refused: true}
+	case !idempotent:
+		return Outcome[service.Response]{Err: fault.Wrap(err, fault.OutcomeUnknown, "the call was sent and its outcome is not known")}
+	case ctx.Err() != nil:
+		return Outcome[service.Response]{Err: fault.Of(ctx.Err())}
+	default:
+		return Outcome[service.Response]{Err: fault.Wrap(err, fault.BackendFailed, "the service failed the call")}
+	}
+}
