Check tickets on arrival only and count an unreachable engine as down at once

A queued request may outlive its ticket, which bounds how long the entry was frozen before it sent the request. Loads that wait ahead count in the expected time of a load, and refusals during a cold start say so.

--- a/internal/adapter/slots/slots.go
+++ b/internal/adapter/slots/slots.go
@@ -139,17 +139,35 @@
 
 	estimate := s.Estimate(now)
 
-	if s.loading == nil {
-		return estimate
+	var rest time.Duration
+
+	if s.loading != nil {
+		rest = max(0, estimate-now.Sub(s.started))
+
+		if s.loading.Adapter == adapter {
+			return rest
+		}
 	}
 
-	rest := max(0, estimate-now.Sub(s.started))
+	return rest + estimate*time.Duration(s.ahead(adapter)+1)
+}
+
+// ahead returns the number of loads that requests wait for and that come before that of the adapter.
+func (s *Slots) ahead(adapter engine.Adapter) int {
+	own := s.wanted[adapter]
+	count := 0
 
-	if s.loading.Adapter == adapter {
-		return rest
+	for other, w := range s.wanted {
+		if other == adapter || len(w.waiters) == 0 || s.loading != nil && s.loading.Adapter == other {
+			continue
+		}
+
+		if own == nil || len(own.waiters) == 0 || w.since.Before(own.since) {
+			count++
+		}
 	}
 
-	return rest + estimate
+	return count
 }
 
 // Estimate returns the expected time of one load, with its wait for the budget. A slow load counts less as it ages:
@@ -292,10 +310,10 @@
 	return best, found
 }
 
-// Unloaded records that the victim of the current load was unloaded.
+// Unloaded records that the victim of the current load was unloaded; it does nothing after a restart of the engine.
 func (s *Slots) Unloaded(now time.Time, adapter engine.Adapter) {
 	gone := s.resident[adapter]
-	if gone == nil {
+	if gone == nil || s.loading == nil {
 		return
 	}
 
@@ -319,6 +337,7 @@
 
 	s.observe(now, now.Sub(s.started))
 	added := s.add(now, plan.Adapter)
+	added.suspect = false
 
 	if w == nil {
 		return nil
--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -74,7 +74,12 @@
 		return s.serveOnce(ctx, out)
 	}
 
-	j, err := s.admit(ctx, out.request)
+	a, err := s.arrive(ctx, out.request)
+	if err != nil {
+		return out.refuse(err)
+	}
+
+	j, err := s.admit(ctx, a)
 	if err != nil {
 		return out.refuse(err)
 	}
@@ -93,8 +98,8 @@
 	id := request.GetCall().Attempt
 
 	// A request that is refused here may be sent again under the same attempt id, with a fresh ticket.
-	now := time.Now()
-	if err := s.arrive(ctx, now, newArrival(now, request)); err != nil {
+	a, err := s.arrive(ctx, request)
+	if err != nil {
 		return out.refuse(err)
 	}
 
@@ -102,7 +107,7 @@
 		return s.repeated(out, id, err)
 	}
 
-	j, err := s.admit(ctx, request)
+	j, err := s.admit(ctx, a)
 	if err != nil {
 		s.attempts.refuse(time.Now(), id)
 		return out.refuse(err)
--- a/internal/agent/server/check.go
+++ b/internal/agent/server/check.go
@@ -18,6 +18,7 @@
 // arrival is a request with what is known of it on arrival.
 type arrival struct {
 	request *rpc.RunRequest
+	at      time.Time
 	// deadline is on this process's clock.
 	deadline time.Time
 	// confirmed is when the entry confirmed its document, on this process's clock.
@@ -27,22 +28,37 @@
 func newArrival(now time.Time, request *rpc.RunRequest) *arrival {
 	return &arrival{
 		request:   request,
+		at:        now,
 		deadline:  now.Add(time.Duration(request.RemainingMs) * time.Millisecond),
 		confirmed: now.Add(-time.Duration(request.ConfigAgeMs) * time.Millisecond),
 	}
 }
 
 // arrive makes the checks on arrival.
-func (s *Server) arrive(ctx context.Context, now time.Time, a *arrival) error {
+func (s *Server) arrive(ctx context.Context, request *rpc.RunRequest) (*arrival, error) {
+	now := time.Now()
+	a := newArrival(now, request)
+
+	if err := s.checkSender(ctx, now, a); err != nil {
+		return nil, err
+	}
+
+	return a, s.check(time.Now(), a)
+}
+
+// checkSender checks that the entry may start work here, and brings the document to the entry's version.
+func (s *Server) checkSender(ctx context.Context, now time.Time, a *arrival) error {
 	if a.request.Boot != s.boot {
 		return fault.New(fault.BootChanged, "this is agent process %s", s.boot)
 	}
 
-	if err := s.catchUp(ctx, a); err != nil {
-		return err
+	// A request that waited in the queue may outlive its ticket: the ticket bounds how long an entry may have been frozen
+	// before it sent the request.
+	if !s.tickets.check(now, a.request.Entry, a.request.Ticket) {
+		return fault.New(fault.TicketExpired, "the ticket has expired")
 	}
 
-	return s.check(now, a)
+	return s.catchUp(ctx, a)
 }
 
 // check makes the checks that hold both on arrival and at the start of the work.
@@ -55,10 +71,6 @@
 		return fault.New(fault.NotReady, "the backend server does not answer")
 	}
 
-	if !s.tickets.check(now, a.request.Entry, a.request.Ticket) {
-		return fault.New(fault.TicketExpired, "the ticket has expired")
-	}
-
 	if !now.Before(a.deadline) {
 		return fault.New(fault.Overloaded, "the deadline has passed")
 	}
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -73,7 +73,7 @@
 	dropped, err := g.queue.Push(now, &j.item, g.pace())
 	if err != nil {
 		g.release(j)
-		return err
+		return g.explain(err)
 	}
 
 	g.jobs[&j.item] = j
@@ -87,6 +87,15 @@
 	return nil
 }
 
+// explain names a cold start as the reason for a refusal.
+func (g *gate) explain(err error) error {
+	if !g.ramp.Cold() {
+		return err
+	}
+
+	return fault.Wrap(err, fault.Cold, "the backend server is in a cold start").WithRetry(fault.Of(err).Retry())
+}
+
 // acquire pins the adapter of a job, or marks the job as blocked until the adapter is loaded.
 func (g *gate) acquire(now time.Time, j *job, loads bool) error {
 	if j.waiter == nil {
@@ -127,6 +136,8 @@
 
 // dispatch gives free places to waiting jobs.
 func (g *gate) dispatch(now time.Time) {
+	defer g.measure()
+
 	for g.running < g.ramp.Limit() {
 		item := g.queue.Pop()
 		if item == nil {
@@ -145,6 +156,12 @@
 	}
 }
 
+func (g *gate) measure() {
+	runningGauge.Update(int64(g.running))
+	queuedGauge.Update(int64(g.queue.Len()))
+	limitGauge.Update(int64(g.ramp.Limit()))
+}
+
 // refuse ends a waiting job that is no longer in the queue.
 func (g *gate) refuse(j *job, err error) {
 	delete(g.jobs, &j.item)
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -27,7 +27,12 @@
 		return out.fail(fault.New(fault.Interrupted, "the answer is no longer kept"), 0)
 	}
 
-	j, err := s.admit(ctx, request)
+	a, err := s.arrive(ctx, request)
+	if err != nil {
+		return out.refuse(err)
+	}
+
+	j, err := s.admit(ctx, a)
 	if err != nil {
 		return out.refuse(err)
 	}
@@ -41,18 +46,11 @@
 	return s.relay(ctx, out, started, j, 0, canceled)
 }
 
-// admit makes the checks, waits for adapter and turn, and makes the checks again. The job of a nil error has a place.
-func (s *Server) admit(ctx context.Context, request *rpc.RunRequest) (*job, error) {
-	now := time.Now()
-	a := newArrival(now, request)
-
-	if err := s.arrive(ctx, now, a); err != nil {
-		return nil, err
-	}
-
-	j := s.newJob(now, a)
+// admit waits for adapter and turn, and repeats the checks of the arrival. The job of a nil error has a place.
+func (s *Server) admit(ctx context.Context, a *arrival) (*job, error) {
+	j := s.newJob(a)
 
-	if err := s.gate.enter(now, j, s.limits(), s.loadable()); err != nil {
+	if err := s.gate.enter(time.Now(), j, s.limits(), s.loadable()); err != nil {
 		return nil, err
 	}
 
@@ -73,7 +71,7 @@
 	return j, nil
 }
 
-func (s *Server) newJob(now time.Time, a *arrival) *job {
+func (s *Server) newJob(a *arrival) *job {
 	request := a.request
 	weight := s.policy(request).Weight
 
@@ -87,8 +85,8 @@
 			Deadline: a.deadline,
 		},
 		turn:    make(chan error, 1),
-		arrived: now,
-		loaded:  now,
+		arrived: a.at,
+		loaded:  a.at,
 	}
 
 	if generate := request.GetGenerate(); generate != nil {
@@ -146,7 +144,7 @@
 		Pace: func(first bool, took time.Duration, tokens int64) {
 			s.gate.observe(time.Now(), j, phase(first), took, tokens)
 		},
-		Broken: s.poll,
+		Broken: s.pollNow,
 	}
 }
 
--- a/internal/agent/server/loader.go
+++ b/internal/agent/server/loader.go
@@ -17,6 +17,8 @@
 	slowLoad = time.Second
 	// longestPause bounds the pause after a slow load.
 	longestPause = 5 * time.Second
+	// budgetTimeout bounds one wait for the load budget, after which the wish for a load is looked at again.
+	budgetTimeout = 5 * time.Second
 	// retryPause is the pause after a load that could not be started.
 	retryPause = 250 * time.Millisecond
 )
@@ -49,7 +51,7 @@
 		return retryPause
 	}
 
-	if err := s.Budget.Take(ctx); err != nil {
+	if err := s.take(ctx); err != nil {
 		logrus.WithField("component", component).WithError(err).Warn("no budget for an adapter load")
 		return retryPause
 	}
@@ -78,6 +80,13 @@
 	return min(max(0, took-slowLoad), longestPause)
 }
 
+func (s *Server) take(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, budgetTimeout)
+	defer cancel()
+
+	return s.Budget.Take(ctx)
+}
+
 func (s *Server) load(ctx context.Context, plan slots.Plan) error {
 	info := s.backend.current()
 	order := orders.Load{
--- a/internal/agent/server/monitor.go
+++ b/internal/agent/server/monitor.go
@@ -46,13 +46,13 @@
 	return b.info
 }
 
-// update takes the result of a read and reports whether the engine restarted since the one before.
-func (b *backend) update(info engine.Info, err error) bool {
+// update takes the result of a read, with what a failure counts, and reports whether the engine restarted since the one before.
+func (b *backend) update(info engine.Info, err error, weight int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	if err != nil {
-		b.failures++
+		b.failures += weight
 		return false
 	}
 
@@ -70,7 +70,7 @@
 	defer ticker.Stop()
 
 	for {
-		s.poll(ctx)
+		s.poll(ctx, 1)
 
 		select {
 		case <-ticker.C:
@@ -80,18 +80,31 @@
 	}
 }
 
-// poll reads the engine's state once. A request whose stream broke calls it before it gives up its place, so that a
-// restart is known before the place is given to the next request.
-func (s *Server) poll(ctx context.Context) {
+// pollNow reads the engine's state for a request whose stream broke, before it gives up its place. So a restart is known
+// before the place is given to the next request, and an engine that does not answer now counts as down at once.
+func (s *Server) pollNow(ctx context.Context) {
+	s.poll(ctx, pollFailures)
+}
+
+// poll reads the engine's state once, unless another read began meanwhile. Weight is what a failure counts.
+func (s *Server) poll(ctx context.Context, weight int) {
+	wanted := time.Now()
+
 	s.polling.Lock()
 	defer s.polling.Unlock()
 
+	if s.polled.After(wanted) {
+		return
+	}
+
+	s.polled = time.Now()
+
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pollTimeout)
 	defer cancel()
 
 	was := s.backend.up()
 	info, report, err := s.read(ctx)
-	restarted := s.backend.update(info, err)
+	restarted := s.backend.update(info, err, weight)
 
 	if up := s.backend.up(); up != was {
 		logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server, "up": up}).
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -42,6 +42,9 @@
 
 var (
 	coldStarts   = metrics.GetOrRegisterCounter("agent.cold", metrics.DefaultRegistry)
+	runningGauge = metrics.GetOrRegisterGauge("agent.running", metrics.DefaultRegistry)
+	queuedGauge  = metrics.GetOrRegisterGauge("agent.queued", metrics.DefaultRegistry)
+	limitGauge   = metrics.GetOrRegisterGauge("agent.limit", metrics.DefaultRegistry)
 	evictions    = metrics.GetOrRegisterCounter("agent.eviction", metrics.DefaultRegistry)
 	loadFailures = metrics.GetOrRegisterCounter("agent.load.failed", metrics.DefaultRegistry)
 	loadTime     = metrics.GetOrRegisterTimer("agent.load.time", metrics.DefaultRegistry)
@@ -78,16 +81,18 @@
 	// Background runs beside the server until the drain has ended; may be nil.
 	Background func(ctx context.Context)
 
-	boot      string
-	gate      gate
-	tickets   tickets
-	attempts  attempts
-	runs      runs
-	backend   backend
-	fence     *orders.Fence
-	orders    *orders.Orders
-	wake      chan struct{}
-	polling   sync.Mutex
+	boot     string
+	gate     gate
+	tickets  tickets
+	attempts attempts
+	runs     runs
+	backend  backend
+	fence    *orders.Fence
+	orders   *orders.Orders
+	wake     chan struct{}
+	polling  sync.Mutex
+	// polled is when the last read of the engine's state began.
+	polled    time.Time
 	readiness probe.Readiness
 	// work is the context of work at the backend server; it outlives the streams of the entries.
 	work context.Context
