--- /dev/null
+++ b/internal/adapter/slots/slots_test.go
@@ -0,0 +1,292 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/adapter/slots"
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+)
+
+var now = time.Unix(1000, 0)
+
+func adapter(name string) engine.Adapter {
+	return engine.Adapter{Name: name, Version: "1"}
+}
+
+func waiter(name string, at time.Time) *slots.Waiter {
+	return &slots.Waiter{Adapter: adapter(name), Deadline: at.Add(time.Minute)}
+}
+
+// load makes an adapter resident, with a number of uses, and without pins.
+func load(t *testing.T, s *slots.Slots, at time.Time, name string, uses int) {
+	t.Helper()
+
+	for range uses {
+		w := waiter(name, at)
+
+		if status, err := s.Acquire(at, w); err == nil && status == slots.Waiting {
+			plan, ok := s.Next(at, at)
+			assert.Assert(t, ok)
+
+			if plan.Victim != nil {
+				s.Unloaded(at, *plan.Victim)
+			}
+
+			s.Loaded(at, false)
+		}
+
+		s.Release(w)
+	}
+}
+
+// Guards against eviction of the wrong adapter.
+func TestEviction(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(t *testing.T, s *slots.Slots)
+		victim  string
+	}{
+		"least used": {func(*testing.T, *slots.Slots) {}, "b"},
+		"never one in use": {func(t *testing.T, s *slots.Slots) {
+			t.Helper()
+
+			_, err := s.Acquire(now, waiter("b", now))
+			assert.NilError(t, err)
+		}, "a"},
+		"old uses count less": {func(t *testing.T, s *slots.Slots) {
+			t.Helper()
+
+			load(t, s, now.Add(time.Hour), "b", 1)
+		}, "a"},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &slots.Slots{Capacity: 2}
+			load(t, s, now, "a", 3)
+			load(t, s, now, "b", 1)
+			test.prepare(t, s)
+
+			later := now.Add(time.Hour)
+			_, err := s.Acquire(later, waiter("c", later))
+			assert.NilError(t, err)
+
+			plan, ok := s.Next(later, later)
+			assert.Assert(t, ok)
+			assert.Equal(t, plan.Victim.Name, test.victim)
+		})
+	}
+}
+
+// Guards against one load for each waiting request, and against waiters of a failed load that are not told.
+func TestCoalesce(t *testing.T) {
+	s := &slots.Slots{Capacity: 1}
+
+	for range 3 {
+		status, err := s.Acquire(now, waiter("a", now))
+		assert.NilError(t, err)
+		assert.Equal(t, status, slots.Waiting)
+	}
+
+	_, ok := s.Next(now, now)
+	assert.Assert(t, ok)
+
+	_, ok = s.Next(now, now)
+	assert.Assert(t, !ok, "one load at a time")
+	assert.Equal(t, len(s.Loaded(now, false)), 3)
+
+	_, err := s.Acquire(now, waiter("b", now))
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Wants(now), "every adapter is pinned")
+}
+
+// Guards against a failing load that is repeated at full speed.
+func TestBackoff(t *testing.T) {
+	s := &slots.Slots{Capacity: 1}
+	at := now
+
+	for _, pause := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		_, err := s.Acquire(at, waiter("a", at))
+		assert.NilError(t, err)
+
+		_, ok := s.Next(at, at)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(s.Loaded(at, true)), 1)
+
+		_, err = s.Acquire(at, waiter("a", at))
+		assert.Assert(t, fault.Is(err, fault.AdapterUnavailable), "%v", err)
+		assert.Equal(t, fault.Of(err).Retry(), pause)
+
+		at = at.Add(pause)
+	}
+}
+
+// Guards against loads that end after the deadline, and against one slow load that makes every later one look too late.
+func TestLoadDeadline(t *testing.T) {
+	s := &slots.Slots{Capacity: 4}
+	hasty := &slots.Waiter{Adapter: adapter("a"), Deadline: now.Add(100 * time.Millisecond)}
+
+	_, err := s.Acquire(now, hasty)
+	assert.Assert(t, fault.Is(err, fault.Overloaded), "%v", err)
+	assert.Assert(t, !s.Wants(now))
+
+	_, err = s.Acquire(now, waiter("b", now))
+	assert.NilError(t, err)
+
+	_, ok := s.Next(now, now)
+	assert.Assert(t, ok)
+
+	at := now.Add(50 * time.Second)
+	s.Loaded(at, false)
+	assert.Assert(t, s.Estimate(at) > 10*time.Second)
+	assert.Assert(t, s.Estimate(at.Add(time.Minute)) < time.Second)
+}
+
+// Guards against eviction under a request of an earlier agent process.
+func TestAdopted(t *testing.T) {
+	s := &slots.Slots{Capacity: 1}
+	report := engine.Report{Resident: []engine.Adapter{adapter("a")}, Running: []engine.Running{{ID: "r", Adapter: adapter("a")}}}
+
+	s.Report(now, report)
+	_, err := s.Acquire(now, waiter("b", now))
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Wants(now), "before the running list is known")
+
+	at := now.Add(3 * time.Second)
+	s.Report(at, report)
+	assert.Assert(t, !s.Wants(at), "while the running list shows it")
+
+	report.Running = nil
+	s.Report(at, report)
+	assert.Assert(t, s.Wants(at))
+}
+
+// Guards against decisions on a report that lags behind.
+func TestLateReport(t *testing.T) {
+	s := &slots.Slots{Capacity: 1}
+	listed := engine.Report{Resident: []engine.Adapter{adapter("a")}}
+	soon := now.Add(time.Second)
+
+	s.Report(now, listed)
+	s.Report(soon, listed)
+
+	_, err := s.Acquire(soon, waiter("b", soon))
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Wants(soon), "a request of the earlier process may be missing in the running list")
+
+	at := now.Add(3 * time.Second)
+	s.Report(at, listed)
+
+	_, ok := s.Next(at, at)
+	assert.Assert(t, ok)
+	s.Unloaded(at, adapter("a"))
+	s.Loaded(at, false)
+
+	s.Report(at.Add(time.Second), listed)
+	resident, _ := s.Resident()
+	assert.DeepEqual(t, resident, []string{"b@1"})
+
+	s.Report(at.Add(3*time.Second), listed)
+	resident, _ = s.Resident()
+	assert.DeepEqual(t, resident, []string{"a@1"})
+}
+
+// Guards against pins and residents that outlive a restart of the engine.
+func TestRestart(t *testing.T) {
+	s := &slots.Slots{Capacity: 2}
+	load(t, s, now, "a", 1)
+
+	before := waiter("a", now)
+	_, err := s.Acquire(now, before)
+	assert.NilError(t, err)
+	assert.Assert(t, s.Holds(before))
+
+	s.Reset()
+	assert.Assert(t, !s.Holds(before))
+	load(t, s, now, "a", 1)
+	assert.Assert(t, !s.Holds(before))
+	s.Release(before)
+
+	after := waiter("a", now)
+	status, err := s.Acquire(now, after)
+	assert.NilError(t, err)
+	assert.Equal(t, status, slots.Pinned)
+	assert.Assert(t, s.Holds(after))
+}
+
+// Guards against eviction of a pinned adapter, too many residents and lost pins over random operations.
+func TestPins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &slots.Slots{Capacity: rapid.IntRange(1, 3).Draw(t, "capacity")}
+		at := now
+		held := map[*slots.Waiter]bool{}
+		loading := false
+
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": func(t *rapid.T) {
+				w := waiter(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "adapter")), at)
+				if _, err := s.Acquire(at, w); err == nil {
+					held[w] = true
+				}
+			},
+			"release": func(*rapid.T) {
+				for w := range held {
+					s.Release(w)
+					delete(held, w)
+
+					return
+				}
+			},
+			"load": func(t *rapid.T) {
+				plan, ok := s.Next(at, at)
+				if !ok {
+					return
+				}
+
+				loading = true
+
+				for w := range held {
+					inUse := s.Holds(w) && plan.Victim != nil && *plan.Victim == w.Adapter
+					assert.Assert(t, !inUse, "victim %v is in use", plan.Victim)
+				}
+
+				if plan.Victim != nil {
+					// A request that comes during the unload must wait for a load of its own.
+					w := &slots.Waiter{Adapter: *plan.Victim, Deadline: at.Add(time.Minute)}
+					status, err := s.Acquire(at, w)
+					assert.Assert(t, err != nil || status == slots.Waiting)
+					s.Release(w)
+					s.Unloaded(at, *plan.Victim)
+				}
+			},
+			"loaded": func(t *rapid.T) {
+				failed := rapid.Bool().Draw(t, "failed")
+
+				for _, w := range s.Loaded(at, failed) {
+					assert.Equal(t, s.Holds(w), !failed)
+
+					if failed {
+						delete(held, w)
+					}
+				}
+
+				loading = false
+			},
+			"restart": func(t *rapid.T) {
+				if !loading && rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+					s.Reset()
+				}
+			},
+			"wait": func(*rapid.T) { at = at.Add(time.Second) },
+			"": func(t *rapid.T) {
+				resident, _ := s.Resident()
+				assert.Assert(t, len(resident) <= s.Capacity, "resident %v", resident)
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/admit/ramp/ramp_test.go
@@ -0,0 +1,126 @@
+package ramp_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/admit/ramp"
+)
+
+var now = time.Unix(1000, 0)
+
+// warm returns a ramp that has grown from 2 to 16 at 10 ms per token.
+func warm() *ramp.Ramp {
+	r := &ramp.Ramp{}
+	r.Configure(2, 16)
+	r.Report(now, "b1", false)
+
+	for range 40 {
+		r.Observe(now, r.Epoch(), ramp.Next, 10*time.Millisecond, 1)
+		r.Complete(r.Epoch())
+	}
+
+	return r
+}
+
+// Guards against full load on an engine that is cold, for each way to notice it.
+func TestCold(t *testing.T) {
+	tests := map[string]struct {
+		event func(r *ramp.Ramp)
+		limit int
+	}{
+		"still warm":  {func(r *ramp.Ramp) { r.Report(now, "b1", false) }, 16},
+		"new boot id": {func(r *ramp.Ramp) { r.Report(now, "b2", false) }, 2},
+		"cold flag":   {func(r *ramp.Ramp) { r.Report(now, "b1", true) }, 2},
+		"cold without notice": {func(r *ramp.Ramp) {
+			for range 5 {
+				r.Observe(now, r.Epoch(), ramp.Next, 100*time.Millisecond, 1)
+			}
+		}, 2},
+		"full batch": {func(r *ramp.Ramp) {
+			for range 50 {
+				r.Observe(now, r.Epoch(), ramp.Next, 25*time.Millisecond, 1)
+			}
+		}, 16},
+		"one slow event": {func(r *ramp.Ramp) { r.Observe(now, r.Epoch(), ramp.Next, 60*time.Millisecond, 1) }, 16},
+		"completions from before the cold start": {func(r *ramp.Ramp) {
+			before := r.Epoch()
+			r.Report(now, "b2", false)
+
+			for range 20 {
+				r.Complete(before)
+			}
+		}, 2},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := warm()
+			assert.Equal(t, r.Limit(), 16)
+			test.event(r)
+			assert.Equal(t, r.Limit(), test.limit)
+		})
+	}
+}
+
+// Guards against an engine that stays slow and is taken for cold again and again, and against a second cold start that is
+// not noticed after the first has passed.
+func TestColdAgain(t *testing.T) {
+	r := warm()
+	slow := func(count int, took time.Duration) (starts int) {
+		for range count {
+			if r.Observe(now, r.Epoch(), ramp.Next, took, 1) {
+				starts++
+			}
+		}
+
+		return starts
+	}
+
+	assert.Equal(t, slow(100, 100*time.Millisecond), 1)
+	assert.Equal(t, slow(100, 10*time.Millisecond), 0)
+	assert.Equal(t, slow(100, 100*time.Millisecond), 1)
+}
+
+// Guards against a limit outside its bounds, or that rises without completions, over random operations.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &ramp.Ramp{}
+		r.Configure(2, 10)
+
+		limit := r.Limit()
+		at := now
+
+		t.Repeat(map[string]func(*rapid.T){
+			"complete": func(t *rapid.T) {
+				r.Complete(r.Epoch() - rapid.Int64Range(0, 1).Draw(t, "age"))
+				assert.Assert(t, r.Limit() <= limit+1)
+			},
+			"report": func(t *rapid.T) {
+				at = at.Add(time.Second)
+				boot := rapid.SampledFrom([]string{"b1", "b2"}).Draw(t, "boot")
+
+				if r.Report(at, boot, rapid.Bool().Draw(t, "cold")) {
+					assert.Equal(t, r.Limit(), 2)
+				}
+
+				assert.Assert(t, r.Limit() <= limit)
+			},
+			"observe": func(t *rapid.T) {
+				took := time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond
+				if r.Observe(at, r.Epoch(), ramp.First, took, 1) {
+					assert.Equal(t, r.Limit(), 2)
+				}
+
+				assert.Assert(t, r.Limit() <= limit)
+			},
+			"": func(t *rapid.T) {
+				limit = r.Limit()
+				assert.Assert(t, limit >= 2 && limit <= 10)
+			},
+		})
+	})
+}
