--- /dev/null
+++ b/internal/route/pick/pick.go
@@ -0,0 +1,136 @@
+// Package pick ranks backend servers for an adapter or a plain service and chooses one by residency and load.
+package pick
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
+	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
+)
+
+const (
+	// firstCandidates is the number of ranked servers that are looked at first.
+	firstCandidates = 8
+	// mostCandidates bounds the servers of a hot adapter; a choice among them stays under 2 µs.
+	mostCandidates = 64
+)
+
+// Query says what a server is wanted for.
+type Query struct {
+	// Offer is "model/<name>" or "service/<name>".
+	Offer string
+	// Name is ranked: the adapter, or the name of the plain service.
+	Name string
+	// Resident is the adapter as adapter@version; empty for plain services.
+	Resident string
+	// Tried names servers that the request has been sent to already.
+	Tried []string
+	Now   time.Time
+}
+
+// Picker chooses backend servers. It does no I/O and is safe for concurrent use.
+type Picker struct {
+	// Policy decides; nil means Spill.
+	Policy Policy
+	// Domain and Region are those of this process; they only decide between equally loaded servers.
+	Domain string
+	Region string
+
+	mu    sync.Mutex
+	view  *member.View
+	ranks map[ranked][]*member.Server
+	hints map[string]*hint
+}
+
+type ranked struct {
+	offer string
+	name  string
+}
+
+// Pick returns the server for the query, or nil if no server is left.
+func (p *Picker) Pick(view *member.View, query Query) *member.Server {
+	if view == nil {
+		return nil
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.see(view)
+
+	server := p.decide(query)
+	if server == nil {
+		return nil
+	}
+
+	invariant.Check(!slices.Contains(query.Tried, server.Name), "pick.tried", "server %s was tried before", server.Name)
+	p.hint(server.Name).given()
+
+	return server
+}
+
+// Report keeps the load and residency that a server has reported.
+func (p *Picker) Report(server string, load Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.hint(server).report(load, now)
+}
+
+// Known returns the epoch of the residency list that is known of the server.
+func (p *Picker) Known(server string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.hint(server).epoch()
+}
+
+// see discards rankings of an older view and hints of servers that are gone.
+func (p *Picker) see(view *member.View) {
+	if p.view == view {
+		return
+	}
+
+	p.view = view
+	p.ranks = map[ranked][]*member.Server{}
+
+	for name := range p.hints {
+		if view.Server(name) == nil {
+			delete(p.hints, name)
+		}
+	}
+}
+
+func (p *Picker) hint(server string) *hint {
+	found, ok := p.hints[server]
+	if ok {
+		return found
+	}
+
+	if p.hints == nil {
+		p.hints = map[string]*hint{}
+	}
+
+	found = &hint{}
+	p.hints[server] = found
+
+	return found
+}
+
+// candidates returns the cached ranking, at least size long if there are so many servers.
+func (p *Picker) candidates(query Query, size int) []*member.Server {
+	key := ranked{offer: query.Offer, name: query.Name}
+	servers := p.view.Serving(query.Offer)
+
+	found, ok := p.ranks[key]
+	if ok && len(found) >= min(size, len(servers)) {
+		return found
+	}
+
+	found = rank(query.Name, servers, size)
+	p.ranks[key] = found
+
+	return found
+}
--- /dev/null
+++ b/internal/route/pick/rank.go
@@ -0,0 +1,61 @@
+package pick
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
+)
+
+// score is the weighted rendezvous score of a server for a name: -weight / ln(u), with u in (0, 1) drawn from the hash of
+// both. The source is Schindelhauer and Schomaker, "Weighted Distributed Hash Tables" (SPAA 2005).
+func score(name uint64, server *member.Server) float64 {
+	const bits = 53
+
+	hash := mix(name ^ mix(xxhash.Sum64String(server.Name)))
+	unit := (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
+
+	return -server.Weight / math.Log(unit)
+}
+
+// mix is the finalizer of MurmurHash3; it spreads the combination of two hashes over all bits.
+func mix(hash uint64) uint64 {
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	hash ^= hash >> 33
+
+	return hash
+}
+
+// rank returns the servers with the highest scores for the name, the best first; size bounds their number.
+func rank(name string, servers []*member.Server, size int) []*member.Server {
+	size = min(size, len(servers))
+	best := make([]*member.Server, 0, size)
+	scores := make([]float64, 0, size)
+	hash := xxhash.Sum64String(name)
+
+	for _, server := range servers {
+		value := score(hash, server)
+
+		if len(best) < size {
+			best = append(best, nil)
+			scores = append(scores, 0)
+		} else if size == 0 || value <= scores[size-1] {
+			continue
+		}
+
+		at := len(best) - 1
+
+		for at > 0 && scores[at-1] < value {
+			best[at], scores[at] = best[at-1], scores[at-1]
+			at--
+		}
+
+		best[at], scores[at] = server, value
+	}
+
+	return best
+}
