Add the HTTP API for callers

entry/api serves completions (JSON and SSE), the list of models and plain-service routes. It authenticates, checks freshness, validates, debits and refunds, and answers errors in the OpenAI shape.

--- /dev/null
+++ b/internal/entry/api/admit.go
@@ -0,0 +1,136 @@
+package api
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/entry/relay"
+)
+
+const (
+	// freshTime is the age of the last confirmation up to which keyed work is served.
+	freshTime = 5 * time.Second
+	// mostHeaders bounds the number of header fields of a request.
+	mostHeaders = 64
+	bearer      = "Bearer "
+)
+
+// admit checks what holds for every route.
+func (a *API) admit(state *call) error {
+	count := 0
+	for _, values := range state.echo.Request().Header {
+		count += len(values)
+	}
+
+	if count > mostHeaders {
+		return fault.New(fault.TooLarge, "the request has %d header fields and may have %d", count, mostHeaders)
+	}
+
+	if a.Board.Draining.Value() {
+		return fault.New(fault.Draining, "this entry is shutting down")
+	}
+
+	state.doc = a.Board.Document.Value()
+	if state.doc == nil {
+		return fault.New(fault.NotReady, "the configuration is not known yet")
+	}
+
+	return nil
+}
+
+// authenticate finds the client account of the caller's key and checks that it may use the route.
+func (a *API) authenticate(state *call, route string) error {
+	state.route = route
+
+	header := state.echo.Request().Header.Get("Authorization")
+	if len(header) <= len(bearer) || !strings.EqualFold(header[:len(bearer)], bearer) {
+		return fault.New(fault.KeyMissing, "the request needs a header Authorization: Bearer with a key")
+	}
+
+	state.secret = strings.TrimSpace(header[len(bearer):])
+
+	if err := a.lookup(state); err != nil {
+		return err
+	}
+
+	if _, err := a.config(); err != nil {
+		return err
+	}
+
+	account, ok := state.doc.Accounts[state.account]
+	if !ok {
+		return fault.New(fault.Forbidden, "the client account is not configured")
+	}
+
+	if len(account.Routes) > 0 && !slices.Contains(account.Routes, route) {
+		return fault.New(fault.Forbidden, "the client account may not use the route %s", route)
+	}
+
+	return nil
+}
+
+// lookup checks the key against the current state; it is repeated before each sending to an agent.
+func (a *API) lookup(state *call) error {
+	id, account, found := a.Keys.Lookup(state.secret)
+
+	switch found {
+	case KeyValid:
+		state.key, state.account = id, account
+		return nil
+	case KeyRevoked:
+		return fault.New(fault.KeyRevoked, "the key was revoked")
+	default:
+		return fault.New(fault.KeyUnknown, "the key is unknown")
+	}
+}
+
+// config returns the document version, or an error if it was not confirmed lately.
+func (a *API) config() (relay.Config, error) {
+	doc, fresh := a.Board.Document.Value(), a.Board.Fresh.Value()
+
+	age := time.Since(fresh.Confirmed)
+	if doc == nil || fresh.Confirmed.IsZero() || age > freshTime || fresh.Version > doc.Version {
+		return relay.Config{}, fault.New(fault.StaleConfig, "the configuration could not be confirmed within %s", freshTime)
+	}
+
+	return relay.Config{Version: doc.Version, Age: max(age, 0)}, nil
+}
+
+// check returns the checks that are repeated before each sending. Open routes need no key and no confirmation.
+func (a *API) check(state *call) func() (relay.Config, error) {
+	return func() (relay.Config, error) {
+		if state.secret == "" {
+			return a.open(), nil
+		}
+
+		if err := a.lookup(state); err != nil {
+			return relay.Config{}, err
+		}
+
+		return a.config()
+	}
+}
+
+func (a *API) open() relay.Config {
+	config := relay.Config{Age: time.Since(a.Board.Fresh.Value().Confirmed)}
+
+	if doc := a.Board.Document.Value(); doc != nil {
+		config.Version = doc.Version
+	}
+
+	return config
+}
+
+// routeName returns the name of the document's route with exactly this path, or the built-in name.
+func routeName(doc *document.Document, path, builtin string) string {
+	for name, route := range doc.Routes {
+		if route.Path == path && route.Service == "" {
+			return name
+		}
+	}
+
+	return builtin
+}
--- /dev/null
+++ b/internal/entry/api/api.go
@@ -0,0 +1,102 @@
+// Package api serves the HTTP API for callers: completions, the list of models, and plain-service routes.
+package api
+
+import (
+	"context"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/entry/relay"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+// KeyState is what is known of a caller's key.
+type KeyState int
+
+// The values of KeyState.
+const (
+	KeyUnknown KeyState = iota
+	KeyValid
+	KeyRevoked
+)
+
+// Keys looks up callers' keys; the id may be logged and sent to agents, the key may not.
+type Keys interface {
+	Lookup(key string) (id, account string, state KeyState)
+}
+
+// Charge is a debit that can be refunded once.
+type Charge any
+
+// Limits debits tokens of client accounts. A refused debit is an error of kind RateLimited or LimitUnavailable.
+type Limits interface {
+	Debit(ctx context.Context, account string, amount int64) (Charge, error)
+	Refund(charge Charge, unused int64)
+}
+
+// Target is what the defaults are resolved for; fields may be empty.
+type Target struct {
+	Route   string
+	Account string
+	Adapter string
+}
+
+// Resolver applies the exceptions of the document to its defaults.
+type Resolver interface {
+	Resolve(doc *document.Document, target Target) document.Default
+}
+
+// Runner sends a request to backend servers.
+type Runner interface {
+	Do(ctx context.Context, request relay.Request, sink relay.Sink) (relay.Result, error)
+}
+
+// Orders runs calls that must not be repeated, at most once for each account and idempotency key.
+type Orders interface {
+	Do(ctx context.Context, key string, request relay.Request) (relay.Result, error)
+}
+
+// API holds the handlers. Its fields are set before Register.
+type API struct {
+	Board    *board.Board
+	Keys     Keys
+	Limits   Limits
+	Resolver Resolver
+	Runner   Runner
+	Orders   Orders
+}
+
+// The names of the built-in routes, for accounts that are limited to some routes and for exceptions. A route of the
+// document with the same path takes the place of the name.
+const (
+	routeChat       = "chat"
+	routeCompletion = "completion"
+	routeModels     = "models"
+)
+
+// Register adds the routes and the middleware.
+func (a *API) Register(server *echo.Echo) {
+	server.HTTPErrorHandler = handleError
+	server.Use(a.observe)
+	server.POST("/v1/chat/completions", a.handle(a.chat))
+	server.POST("/v1/completions", a.handle(a.completion))
+	server.GET("/v1/models", a.handle(a.models))
+	server.Any("/*", a.handle(a.service))
+}
+
+// handle gives a handler the state of the request.
+func (a *API) handle(next func(*call) error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		state, ok := c.Get(stateKey).(*call)
+		if !ok {
+			state = newCall(c)
+		}
+
+		if err := a.admit(state); err != nil {
+			return err
+		}
+
+		return next(state)
+	}
+}
--- /dev/null
+++ b/internal/entry/api/models.go
@@ -0,0 +1,57 @@
+package api
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+)
+
+// Model is one entry of the list of models.
+type Model struct {
+	// ID is the adapter; a request may name it alone or as adapter@version.
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	// Owner is the base model.
+	Owner    string   `json:"owned_by"`
+	Versions []string `json:"versions"`
+	// Pin is the version that a request without one gets.
+	Pin string `json:"pin"`
+}
+
+// Models is the list of models.
+type Models struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// models lists the adapters that the client account may use.
+func (a *API) models(state *call) error {
+	if err := a.authenticate(state, routeModels); err != nil {
+		return err
+	}
+
+	return state.json(Models{Object: "list", Data: allowedModels(state.doc, state.account)})
+}
+
+func allowedModels(doc *document.Document, account string) []Model {
+	models := make([]Model, 0, len(doc.Adapters))
+
+	for name, adapter := range doc.Adapters {
+		if len(adapter.Accounts) > 0 && !slices.Contains(adapter.Accounts, account) {
+			continue
+		}
+
+		models = append(models, Model{
+			ID:       name,
+			Object:   "model",
+			Owner:    adapter.Model,
+			Versions: adapter.Versions,
+			Pin:      adapter.Pin,
+		})
+	}
+
+	slices.SortFunc(models, func(a, b Model) int { return strings.Compare(a.ID, b.ID) })
+
+	return models
+}
