--- /dev/null
+++ b/internal/entry/server/agent_test.go
@@ -0,0 +1,325 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+// network connects processes in memory and keeps every byte that was dialed out.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	sent      bytes.Buffer
+}
+
+type pipeListener struct {
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	mu     sync.Mutex
+	conns  []net.Conn
+}
+
+type pipeAddr string
+
+func (a pipeAddr) Network() string { return "pipe" }
+func (a pipeAddr) String() string  { return string(a) }
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddr("pipe") }
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// cut closes the listener and every connection, as when the process is killed.
+func (l *pipeListener) cut() {
+	_ = l.Close()
+	l.cutConns()
+}
+
+func (l *pipeListener) cutConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+func (l *pipeListener) dial() (net.Conn, error) {
+	client, server := net.Pipe()
+
+	l.mu.Lock()
+	l.conns = append(l.conns, server)
+	l.mu.Unlock()
+
+	select {
+	case l.accept <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	}
+}
+
+func (n *network) listen(address string) *pipeListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.listeners == nil {
+		n.listeners = map[string]*pipeListener{}
+	}
+
+	n.listeners[address] = newPipeListener()
+
+	return n.listeners[address]
+}
+
+func (n *network) dial(_ context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	listener := n.listeners[address]
+	n.mu.Unlock()
+
+	if listener == nil {
+		return nil, errors.New("connection refused")
+	}
+
+	raw, err := listener.dial()
+
+	return &recorded{Conn: raw, network: n}, err
+}
+
+type recorded struct {
+	net.Conn
+	network *network
+}
+
+func (r *recorded) Write(data []byte) (int, error) {
+	r.network.mu.Lock()
+	r.network.sent.Write(data)
+	r.network.mu.Unlock()
+
+	return r.Conn.Write(data)
+}
+
+// agent is a fake agent process. Its default behaviour is correct; run replaces it.
+type agent struct {
+	name   string
+	boot   string
+	run    func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error
+	mu     sync.Mutex
+	frozen chan struct{}
+	// runs counts how often the backend server was given work.
+	runs     int
+	hellos   int
+	requests []*rpc.RunRequest
+	cancels  int
+	attempts map[string]*rpc.Done
+	refused  map[string]bool
+	listener *pipeListener
+}
+
+func (a *agent) serve(ctx context.Context, n *network, address string) {
+	a.attempts, a.refused = map[string]*rpc.Done{}, map[string]bool{}
+	a.listener = n.listen(address)
+
+	go func() {
+		_ = conn.Serve(ctx, a.listener, func(mux *drpcmux.Mux) error { return rpc.DRPCRegisterAgent(mux, a) })
+	}()
+}
+
+func (a *agent) ticket() *rpc.Ticket {
+	return &rpc.Ticket{Id: "ticket-" + strconv.FormatInt(time.Now().UnixMilli(), 10), RemainingMs: 3000}
+}
+
+func (a *agent) wait() {
+	a.mu.Lock()
+	frozen := a.frozen
+	a.mu.Unlock()
+
+	if frozen != nil {
+		<-frozen
+	}
+}
+
+func (a *agent) Hello(_ context.Context, in *rpc.HelloRequest) (*rpc.HelloReply, error) {
+	a.wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hellos++
+
+	return &rpc.HelloReply{RequestId: in.RequestId, Server: a.name, Boot: a.boot, Ticket: a.ticket()}, nil
+}
+
+func (a *agent) Query(_ context.Context, in *rpc.QueryRequest) (*rpc.QueryReply, error) {
+	a.wait()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	reply := &rpc.QueryReply{RequestId: in.RequestId, Boot: a.boot, State: rpc.AttemptState_ATTEMPT_UNKNOWN}
+	done, seen := a.attempts[in.Attempt]
+
+	switch {
+	case in.Boot != a.boot:
+	case done != nil:
+		reply.State, reply.Done = rpc.AttemptState_ATTEMPT_DONE, done
+	case seen:
+		reply.State = rpc.AttemptState_ATTEMPT_RUNNING
+	default:
+		a.refused[in.Attempt] = true
+		reply.State = rpc.AttemptState_ATTEMPT_REFUSED
+	}
+
+	return reply, nil
+}
+
+func (a *agent) Run(stream rpc.DRPCAgent_RunStream) error {
+	up, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+
+	request := up.GetRequest()
+
+	a.mu.Lock()
+	a.requests = append(a.requests, request)
+	a.mu.Unlock()
+	a.wait()
+
+	go func() {
+		for {
+			next, err := stream.Recv()
+			if err != nil {
+				return
+			}
+
+			if next.GetCancel() != nil {
+				a.mu.Lock()
+				a.cancels++
+				a.mu.Unlock()
+			}
+		}
+	}()
+
+	if request.Boot != a.boot {
+		return a.refuse(stream, request, fault.BootChanged)
+	}
+
+	if a.run != nil {
+		return a.run(a, stream, request)
+	}
+
+	return a.answer(stream, request)
+}
+
+func (a *agent) send(stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest, down *rpc.RunDown) error {
+	down.RequestId = request.RequestId
+	down.Ticket = a.ticket()
+	down.Load = &rpc.Load{Limit: 8}
+
+	return stream.Send(down)
+}
+
+func (a *agent) refuse(stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest, kind fault.Kind) error {
+	return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Refused{Refused: &rpc.Refused{Kind: string(kind), Message: "refused by " + a.name}}})
+}
+
+// begin counts a run at the backend server; an attempt runs at most once.
+func (a *agent) begin(request *rpc.RunRequest) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if attempt := request.GetCall().GetAttempt(); attempt != "" {
+		if _, seen := a.attempts[attempt]; seen || a.refused[attempt] {
+			return false
+		}
+
+		a.attempts[attempt] = nil
+	}
+
+	a.runs++
+
+	return true
+}
+
+func (a *agent) answer(stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+	if !a.begin(request) {
+		return a.refuse(stream, request, fault.AttemptRefused)
+	}
+
+	if err := a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Started{Started: &rpc.Started{}}}); err != nil {
+		return err
+	}
+
+	if call := request.GetCall(); call != nil {
+		return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Done{Done: a.complete(call)}})
+	}
+
+	for seq := request.Resume; seq < int64(len(words)); seq++ {
+		if err := a.chunk(stream, request, seq); err != nil {
+			return err
+		}
+	}
+
+	return a.finish(stream, request)
+}
+
+var words = []string{"plum", " bark", " lily"}
+
+func (a *agent) chunk(stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest, seq int64) error {
+	work := request.GetGenerate()
+
+	return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Chunk{Chunk: &rpc.Chunk{
+		Adapter: work.Adapter, Version: work.Version, Seq: seq, Text: words[seq], Tokens: 1,
+	}}})
+}
+
+func (a *agent) finish(stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+	work := request.GetGenerate()
+
+	return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Done{Done: &rpc.Done{
+		Adapter: work.Adapter, Version: work.Version, Chunks: int64(len(words)), Finish: "stop",
+		PromptTokens: work.PromptTokens, OutputTokens: int64(len(words)),
+	}}})
+}
+
+func (a *agent) complete(call *rpc.Call) *rpc.Done {
+	done := &rpc.Done{
+		Status:  201,
+		Headers: []*rpc.Header{{Name: "Content-Type", Value: "application/json"}},
+		Body:    []byte(`{"order":"` + a.name + `"}`),
+	}
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if call.Attempt != "" {
+		a.attempts[call.Attempt] = done
+	}
+
+	return done
+}
--- /dev/null
+++ b/internal/entry/server/entry_test.go
@@ -0,0 +1,274 @@
+package server_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/entry/api"
+	"github.com/chestnutbeam/chestnutbeam/internal/entry/server"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+const secret = "cb-secret-of-pistas"
+
+// fleet is a system of one entry or more, fake agents and a fake platform in memory.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	network *network
+	doc     *document.Document
+	table   table.Table
+	agents  []*agent
+	list    vms.List
+	mu      sync.Mutex
+	revoked bool
+	// stale stops the confirmation of the document.
+	stale   bool
+	debited int64
+	unused  []int64
+}
+
+func (f *fleet) List(context.Context) (vms.List, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.list, nil
+}
+
+func (f *fleet) Lookup(key string) (id, account string, state api.KeyState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	switch {
+	case key != secret:
+		return "", "", api.KeyUnknown
+	case f.revoked:
+		return "", "", api.KeyRevoked
+	default:
+		return "key-1", "pistas", api.KeyValid
+	}
+}
+
+func (f *fleet) Debit(_ context.Context, _ string, amount int64) (api.Charge, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.debited += amount
+
+	return amount, nil
+}
+
+func (f *fleet) Refund(_ api.Charge, unused int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unused = append(f.unused, unused)
+}
+
+func (f *fleet) Resolve(doc *document.Document, _ api.Target) document.Default { return doc.Default }
+
+func newFleet(t *testing.T, names ...string) *fleet {
+	t.Helper()
+
+	f := &fleet{t: t, ctx: t.Context(), network: &network{}, table: &table.Memory{}, doc: &document.Document{
+		Version:  7,
+		Default:  document.Default{Timeout: document.Duration(20 * time.Second), Output: 16, Body: 1 << 16},
+		Accounts: map[string]document.Account{"pistas": {Rate: 100, Burst: 1000}},
+		Models:   map[string]document.Model{"base": {Context: 4096}},
+		Adapters: map[string]document.Adapter{"quotes": {Model: "base", Versions: []string{"1", "2"}, Pin: "2"}},
+		Routes: map[string]document.Route{
+			"press": {Path: "/press/", Service: "press", Methods: []string{"POST"}, Cost: 5},
+			"dates": {Path: "/dates/", Service: "press", Methods: []string{"GET"}, Open: true, Idempotent: true},
+		},
+	}}
+
+	for _, name := range names {
+		f.add(name)
+	}
+
+	return f
+}
+
+func (f *fleet) add(name string) *agent {
+	a := &agent{name: name, boot: "boot-" + name}
+	a.serve(f.ctx, f.network, name+":1")
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.agents = append(f.agents, a)
+	f.list.Sequence++
+	f.list.VMs = append(f.list.VMs, vms.VM{
+		Name: "vm-" + name, Address: name + ":1", Domain: "a", Role: vms.RoleAgent,
+		Server: name, Serves: []string{"model/base", "service/press"},
+	})
+
+	return a
+}
+
+// runs returns how often the backend servers were given work.
+func (f *fleet) runs() int {
+	total := 0
+
+	for _, a := range f.agents {
+		a.mu.Lock()
+		total += a.runs
+		a.mu.Unlock()
+	}
+
+	return total
+}
+
+// entry is one running entry process with an HTTP client.
+type entry struct {
+	client *http.Client
+	stop   context.CancelFunc
+	ended  chan error
+}
+
+func (f *fleet) start() *entry {
+	listener := newPipeListener()
+	shared := &board.Board{}
+	ctx, stop := context.WithCancel(f.ctx)
+	s := &server.Server{
+		Board: shared, Lister: f, Table: f.table, Keys: f, Limits: f, Resolver: f,
+		HTTP: listener, Peer: newPipeListener(), Dial: f.network.dial,
+		Controllers: []server.Controller{&confirmer{fleet: f, board: shared}},
+	}
+	s.Settings.Place.VM = "entry-1"
+	s.Settings.Place.Domain = "a"
+
+	e := &entry{stop: stop, ended: make(chan error, 1)}
+	e.client = &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return listener.dial() },
+	}}
+
+	go func() {
+		e.ended <- s.Run(ctx)
+		close(e.ended)
+	}()
+
+	f.t.Cleanup(func() {
+		stop()
+
+		for range e.ended {
+		}
+	})
+
+	synctest.Wait()
+
+	return e
+}
+
+// confirmer stands in for the controller that follows the configuration.
+type confirmer struct {
+	fleet *fleet
+	board *board.Board
+}
+
+func (c *confirmer) Run(ctx context.Context) error {
+	for {
+		c.fleet.mu.Lock()
+		if !c.fleet.stale {
+			c.board.Document.Set(c.fleet.doc)
+			c.board.Fresh.Set(board.Fresh{Version: c.fleet.doc.Version, Confirmed: time.Now()})
+		}
+		c.fleet.mu.Unlock()
+
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (e *entry) do(t *testing.T, method, path, body string, headers ...string) reply {
+	t.Helper()
+
+	got, err := e.try(t.Context(), method, path, body, headers...)
+	assert.NilError(t, err)
+
+	return got
+}
+
+func (e *entry) try(ctx context.Context, method, path, body string, headers ...string) (reply, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://entry"+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+
+	request.Header.Set("Authorization", "Bearer "+secret)
+
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+
+	response, err := e.client.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+
+	defer func() { _ = response.Body.Close() }()
+
+	data, err := io.ReadAll(response.Body)
+
+	return reply{status: response.StatusCode, header: response.Header, body: string(data)}, err
+}
+
+const (
+	chatBody   = `{"model":"quotes","messages":[{"role":"user","content":"a floor for two hundred"}],"max_tokens":10}`
+	streamBody = `{"model":"quotes@1","prompt":"a floor","stream":true,"stream_options":{"include_usage":true}}`
+)
+
+// Guards against an answer that is cut, mixed up or charged wrongly in the normal case.
+func TestNormalCase(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1", "s2")
+		e := f.start()
+
+		got := e.do(t, "POST", "/v1/chat/completions", chatBody)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Assert(t, strings.Contains(got.body, `"content":"plum bark lily"`), got.body)
+		assert.Assert(t, got.header.Get("X-Request-Id") != "")
+		assert.Equal(t, f.debited-f.unused[0], int64(12+3))
+
+		got = e.do(t, "POST", "/v1/completions", streamBody)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Assert(t, strings.HasSuffix(got.body, "data: [DONE]\n\n"), got.body)
+
+		got = e.do(t, "GET", "/dates/may?key="+secret, "", "Authorization", "")
+		assert.Equal(t, got.status, 201, got.body)
+
+		got = e.do(t, "POST", "/press/orders", `{"plates":3}`)
+		assert.Equal(t, got.status, 201, got.body)
+		assert.Equal(t, f.runs(), 4)
+	})
+}
+
+func kindOf(got reply) fault.Kind {
+	for _, kind := range fault.Kinds() {
+		if strings.Contains(got.body, `"code":"`+string(kind)+`"`) {
+			return kind
+		}
+	}
+
+	return ""
+}
