--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -2,23 +2,86 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
-)
+	"github.com/cockroachdb/errors"
 
-const usageText = "Serving layer for many LoRA adapters and plain services."
+	"github.com/chestnutbeam/chestnutbeam/internal/ops/check"
+	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
+	"github.com/chestnutbeam/chestnutbeam/internal/program/command"
+	standin "github.com/chestnutbeam/chestnutbeam/internal/standin/command"
+)
 
-type arguments struct{}
+type arguments struct {
+	Entry   *command.Entry `arg:"subcommand:entry" help:"run an entry"`
+	Agent   *command.Agent `arg:"subcommand:agent" help:"run an agent beside a backend server"`
+	Ctl     *ctl.Args      `arg:"subcommand:ctl" help:"operate a fleet"`
+	Check   *check.Args    `arg:"subcommand:check" help:"validate settings and fleet files"`
+	Standin *standin.Args  `arg:"subcommand:standin" help:"run a stand-in for a part of the platform or a backend server"`
+}
 
-// Description implements go-arg's description.
+// Description implements go-arg's interface for the help text.
 func (arguments) Description() string {
-	return usageText
+	return "Serving layer for many LoRA adapters and plain services."
+}
+
+type runner interface {
+	Run(ctx context.Context) error
 }
 
 func main() {
 	var args arguments
 
-	arg.MustParse(&args)
-	fmt.Println(usageText)
+	parser := arg.MustParse(&args)
+
+	chosen := args.chosen()
+	if chosen == nil {
+		parser.Fail("a subcommand is required: entry, agent, ctl, check or standin")
+	}
+
+	os.Exit(run(chosen))
+}
+
+func (a *arguments) chosen() runner {
+	switch {
+	case a.Entry != nil:
+		return a.Entry
+	case a.Agent != nil:
+		return a.Agent
+	case a.Ctl != nil:
+		return a.Ctl
+	case a.Check != nil:
+		return a.Check
+	case a.Standin != nil:
+		return a.Standin
+	default:
+		return nil
+	}
+}
+
+// run returns the exit code. The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends the process at once.
+func run(chosen runner) int {
+	ctx, restore := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer restore()
+
+	context.AfterFunc(ctx, restore)
+
+	err := chosen.Run(ctx)
+	if err == nil {
+		return 0
+	}
+
+	_, _ = fmt.Fprintf(os.Stderr, "chestnutbeam: %v\n", err)
+
+	var exit *ctl.ExitError
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+
+	return 1
 }
--- /dev/null
+++ b/internal/program/compose/entry.go
@@ -0,0 +1,152 @@
+package compose
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/auth/keys"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
+	"github.com/chestnutbeam/chestnutbeam/internal/entry/api"
+	"github.com/chestnutbeam/chestnutbeam/internal/entry/ops"
+	entry "github.com/chestnutbeam/chestnutbeam/internal/entry/server"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/assign"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/holder"
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/ledger"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+// releaseTimeout bounds how long a draining entry tries to hand over its token shares.
+const releaseTimeout = 3 * time.Second
+
+// Entry sets the fields of an entry that its settings and the platform determine. The settings and the dialer must be set.
+func Entry(server *entry.Server, platform Platform) {
+	if server.Board == nil {
+		server.Board = &board.Board{}
+	}
+
+	shared := server.Board
+	place := server.Settings.Place
+	boot := ident.New("boot")
+	pool := conn.New(server.Dial)
+	records := &store.Store{Table: platform.Table, Objects: platform.Objects}
+	follower := &follow.Follower{
+		Board:  shared,
+		Store:  records,
+		Self:   follow.Self{Name: place.VM, Address: server.Settings.Peer, Boot: boot, Domain: place.Domain},
+		Peers:  follow.DRPC{Pool: pool},
+		Period: follow.EntryPeriod,
+	}
+
+	self := board.Holder{VM: place.VM, Address: server.Settings.Peer, Boot: boot, Domain: place.Domain}
+	local := &holder.Holder{Board: shared, Boot: boot}
+	shares := &assign.Assign{Board: shared, Table: platform.Table, Holder: local, Self: self, Boot: assign.AskBoot(pool, self)}
+	debits := &ledger.Ledger{Board: shared, Pool: pool, Local: local, Stale: shares.Poke}
+
+	server.Lister = platform.VMs
+	server.Table = platform.Table
+	server.Keys = keyLookup{&keys.Lookup{Board: shared}}
+	server.Limits = limits{debits}
+	server.Resolver = resolver{}
+	server.Services = append(server.Services, peerService(follower), limitService(local))
+	server.Controllers = append(server.Controllers, follower, local, assignment{shares})
+	server.Routes = append(server.Routes, operatorRoutes(server, records, follower))
+}
+
+func peerService(follower *follow.Follower) func(*drpcmux.Mux) error {
+	return func(mux *drpcmux.Mux) error { return rpc.DRPCRegisterPeer(mux, follower) }
+}
+
+func limitService(local *holder.Holder) func(*drpcmux.Mux) error {
+	return func(mux *drpcmux.Mux) error { return rpc.DRPCRegisterLimit(mux, local) }
+}
+
+func operatorRoutes(server *entry.Server, records *store.Store, follower *follow.Follower) func(*echo.Echo) {
+	operators := &ops.API{
+		Board:     server.Board,
+		Store:     records,
+		Follower:  follower,
+		Operators: server.Settings.Operators,
+		Name:      server.Settings.Place.VM,
+	}
+
+	return operators.Register
+}
+
+// assignment releases the token shares of the process when it ends.
+type assignment struct {
+	*assign.Assign
+}
+
+// Run implements entry.Controller.
+func (a assignment) Run(ctx context.Context) error {
+	err := a.Assign.Run(ctx)
+
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+
+	if drainErr := a.Drain(release); drainErr != nil {
+		logrus.WithField("component", "assign").WithError(drainErr).Warn("token shares stay reserved until this process is known to be gone")
+	}
+
+	return err
+}
+
+type keyLookup struct {
+	lookup *keys.Lookup
+}
+
+// Lookup implements api.Keys.
+func (k keyLookup) Lookup(key string) (id, account string, state api.KeyState) {
+	found := k.lookup.Find(key)
+
+	return found.ID, found.Account, keyState(found.State)
+}
+
+func keyState(state keys.State) api.KeyState {
+	switch state {
+	case keys.StateValid:
+		return api.KeyValid
+	case keys.StateRevoked:
+		return api.KeyRevoked
+	default:
+		return api.KeyUnknown
+	}
+}
+
+type limits struct {
+	ledger *ledger.Ledger
+}
+
+// Debit implements api.Limits.
+func (l limits) Debit(ctx context.Context, account string, amount int64) (api.Charge, error) {
+	charge, err := l.ledger.Debit(ctx, account, amount)
+	if err != nil {
+		return nil, err
+	}
+
+	return charge, nil
+}
+
+// Refund implements api.Limits.
+func (l limits) Refund(charge api.Charge, unused int64) {
+	if debited, ok := charge.(*ledger.Charge); ok {
+		l.ledger.Refund(debited, unused)
+	}
+}
+
+type resolver struct{}
+
+// Resolve implements api.Resolver.
+func (resolver) Resolve(doc *document.Document, target api.Target) document.Default {
+	return doc.Resolve(document.Query{Route: target.Route, Account: target.Account, Adapter: target.Adapter})
+}
