Test the member view and server choice; speed up the choice

A platform that restarts its list's sequence is followed after 30 polls; before, the view froze until the process ended.

--- a/internal/fleet/member/contact.go
+++ b/internal/fleet/member/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,15 +18,13 @@
 type Contact struct {
 	mu       sync.Mutex
 	failures int
-	until    time.Time
+	// until is when the time aside ends, in Unix nanoseconds; it is read for every candidate of every choice.
+	until atomic.Int64
 }
 
 // Aside reports whether the server is to be avoided.
 func (c *Contact) Aside(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return now.Before(c.until)
+	return now.UnixNano() < c.until.Load()
 }
 
 // Begin marks the start of a contact. After a failure it counts as failed until Succeeded is called, so that only one
@@ -48,12 +47,12 @@
 }
 
 func (c *Contact) fail(now time.Time) {
-	if now.Before(c.until) {
+	if c.Aside(now) {
 		return
 	}
 
 	c.failures++
-	c.until = now.Add(c.backoff())
+	c.until.Store(now.Add(c.backoff()).UnixNano())
 }
 
 // Succeeded ends the time aside.
@@ -62,7 +61,7 @@
 	defer c.mu.Unlock()
 
 	c.failures = 0
-	c.until = time.Time{}
+	c.until.Store(0)
 }
 
 func (c *Contact) backoff() time.Duration {
--- a/internal/fleet/member/controller.go
+++ b/internal/fleet/member/controller.go
@@ -16,6 +16,9 @@
 	pollInterval = time.Second
 	// pollTimeout bounds one read, so that a slow platform does not delay the view.
 	pollTimeout = 2 * time.Second
+	// mostOlder is the number of polls in a row that may answer with an older list. After that the platform has started to
+	// count anew, and its list is taken.
+	mostOlder = 30
 )
 
 // Controller polls the platform's list and keeps the View up to date. It writes board.VMs.
@@ -26,6 +29,8 @@
 	// View is the current view; nil until the first list is known.
 	View     board.Cell[*View]
 	contacts Contacts
+	// older counts the polls in a row that answered with an older list.
+	older int
 }
 
 // Run polls until the context ends. Changes of the document take effect at once. When the platform does not answer, the
@@ -96,10 +101,17 @@
 	}
 
 	current, version := c.Board.VMs.Get()
-	if version > 0 && list.Sequence <= current.Sequence {
+	if version > 0 && list.Sequence == current.Sequence {
+		c.older = 0
 		return
 	}
 
+	if version > 0 && list.Sequence < current.Sequence && c.older < mostOlder {
+		c.older++
+		return
+	}
+
+	c.older = 0
 	c.Board.VMs.Set(list)
 	c.forget(list)
 }
--- /dev/null
+++ b/internal/fleet/member/member_test.go
@@ -0,0 +1,142 @@
+package member_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+func agent(name, domain string) vms.VM {
+	return vms.VM{Name: "vm-" + name, Address: name, Domain: domain, Role: vms.RoleAgent, Server: name, Serves: []string{"model/m"}}
+}
+
+// Guards against new work for servers that are leaving or out of service, and a returning one that gets all at once.
+func TestMerge(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	leaving := agent("s1", "a")
+	leaving.Leaving = true
+
+	cases := map[string]struct {
+		vm     vms.VM
+		domain document.Domain
+		state  document.VM
+		weight float64
+	}{
+		"usable":              {vm: agent("s1", "a"), weight: 1},
+		"entry":               {vm: vms.VM{Name: "e", Role: vms.RoleEntry}},
+		"leaving":             {vm: leaving},
+		"domain out":          {vm: agent("s1", "a"), domain: document.Domain{Out: true}},
+		"VM out":              {vm: agent("s1", "a"), state: document.VM{Out: true}},
+		"domain just back":    {vm: agent("s1", "a"), domain: document.Domain{Since: now}, weight: 0.1},
+		"back for 15 s":       {vm: agent("s1", "a"), domain: document.Domain{Since: now.Add(-15 * time.Second)}, weight: 0.6},
+		"back for 30 s":       {vm: agent("s1", "a"), domain: document.Domain{Since: now.Add(-30 * time.Second)}, weight: 1},
+		"VM just back":        {vm: agent("s1", "a"), state: document.VM{Since: now}, weight: 0.1},
+		"clock of the writer": {vm: agent("s1", "a"), domain: document.Domain{Since: now.Add(time.Hour)}, weight: 0.1},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			doc := &document.Document{
+				Domains: map[string]document.Domain{"a": tc.domain},
+				VMs:     map[string]document.VM{"vm-s1": tc.state},
+			}
+
+			servers := member.Merge(vms.List{VMs: []vms.VM{tc.vm}}, doc, &member.Contacts{}, now)
+
+			if tc.weight == 0 {
+				assert.Equal(t, len(servers), 0)
+				return
+			}
+
+			assert.Equal(t, servers[0].Weight, tc.weight)
+		})
+	}
+}
+
+// Guards against a server that is asked by every request while it is out of contact, one that is never asked again, and
+// a crash that counts once for each request it ends.
+func TestContactBackoff(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	contact := &member.Contact{}
+
+	for range 50 {
+		contact.Failed(now)
+	}
+
+	assert.Assert(t, contact.Aside(now.Add(499*time.Millisecond)))
+	assert.Assert(t, !contact.Aside(now.Add(500*time.Millisecond)))
+
+	now = now.Add(500 * time.Millisecond)
+	contact.Begin(now)
+	assert.Assert(t, contact.Aside(now), "others avoid the server while one request probes it")
+	assert.Assert(t, !contact.Aside(now.Add(time.Second)), "the backoff doubles")
+
+	for range 20 {
+		now = now.Add(time.Minute)
+		contact.Failed(now)
+	}
+
+	assert.Assert(t, !contact.Aside(now.Add(15*time.Second)), "the backoff is bounded")
+
+	contact.Succeeded()
+	assert.Assert(t, !contact.Aside(now))
+}
+
+// lister returns its list, or an error if it is empty.
+type lister struct{ cell board.Cell[vms.List] }
+
+func (l *lister) List(context.Context) (vms.List, error) {
+	if len(l.cell.Value().VMs) == 0 {
+		return vms.List{}, errors.New("down")
+	}
+
+	return l.cell.Value(), nil
+}
+
+// Guards against a platform outage or an old list that empties the view, and against rankings discarded without a change.
+func TestControllerKeepsTheLastList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := &lister{}
+		platform.cell.Set(vms.List{Sequence: 2, VMs: []vms.VM{agent("s1", "a"), agent("s2", "b")}})
+		shared := &board.Board{}
+		shared.Document.Set(&document.Document{})
+		controller := &member.Controller{Lister: platform, Board: shared}
+
+		go func() { _ = controller.Run(t.Context()) }()
+
+		time.Sleep(time.Minute)
+		synctest.Wait()
+
+		view, version := controller.View.Get()
+		assert.Equal(t, len(view.Servers), 2)
+		assert.Equal(t, version, int64(1))
+
+		platform.cell.Set(vms.List{})
+		time.Sleep(time.Minute)
+
+		platform.cell.Set(vms.List{Sequence: 1, VMs: []vms.VM{agent("s1", "a")}})
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(controller.View.Value().Servers), 2, "an old list is not taken")
+
+		time.Sleep(20 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(controller.View.Value().Servers), 1, "a platform that counts anew is followed")
+
+		platform.cell.Set(vms.List{Sequence: 2, VMs: []vms.VM{agent("s1", "a"), agent("s2", "b")}})
+		time.Sleep(2 * time.Second)
+
+		shared.Document.Set(&document.Document{Domains: map[string]document.Domain{"b": {Out: true}}})
+		synctest.Wait()
+		assert.Equal(t, len(controller.View.Value().Servers), 1, "a domain out of service leaves the view at once")
+	})
+}
--- a/internal/route/pick/hint.go
+++ b/internal/route/pick/hint.go
@@ -1,9 +1,6 @@
 package pick
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // hintLife is how long a load report counts. A server that looked busy longer ago gets a request, whose answer carries
 // a new report.
@@ -23,20 +20,17 @@
 	Sent     bool
 }
 
-// hint is what is known about one backend server from its last answers.
+// hint is what is known about one backend server from its last answers. It is guarded by the Picker's mutex.
 type hint struct {
-	mu       sync.Mutex
 	load     Load
 	resident map[string]struct{}
-	reported time.Time
+	// until is when the load report lapses, in Unix nanoseconds.
+	until int64
 	// sent counts requests given to the server since the last report.
 	sent int
 }
 
 func (h *hint) report(load Load, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
 	if load.Sent {
 		h.resident = make(map[string]struct{}, len(load.Resident))
 		for _, name := range load.Resident {
@@ -48,50 +42,39 @@
 
 	load.Resident = nil
 	h.load = load
-	h.reported = now
+	h.until = now.Add(hintLife).UnixNano()
 	h.sent = 0
 }
 
-func (h *hint) epoch() int64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	return h.load.Epoch
+func (h *hint) has(adapter string) bool {
+	_, ok := h.resident[adapter]
+	return ok
 }
 
-func (h *hint) given() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.sent++
+// known reports whether there is a load report that counts.
+func (h *hint) known(now int64) bool {
+	return now < h.until && h.load.Limit > 0
 }
 
-// state is a candidate as the choice sees it.
-type state struct {
-	resident bool
-	draining bool
-	// room says that the server can take the request without a long wait.
-	room bool
-	// load is the number of requests at the server divided by its limit.
-	load float64
+// requests is the number of requests at the server.
+func (h *hint) requests() int {
+	return h.load.Running + h.load.Queued + h.sent
 }
 
-func (h *hint) state(name string, now time.Time) state {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	_, resident := h.resident[name]
+// room says that the server can take a request without a long wait.
+func (h *hint) room(now int64) bool {
+	return !h.draining(now) && (!h.known(now) || h.requests() < h.load.Limit)
+}
 
-	if now.Sub(h.reported) > hintLife || h.load.Limit < 1 {
-		return state{resident: resident, room: true}
+// share is the number of requests at the server divided by its limit.
+func (h *hint) share(now int64) float64 {
+	if !h.known(now) {
+		return 0
 	}
 
-	requests := h.load.Running + h.load.Queued + h.sent
+	return float64(h.requests()) / float64(h.load.Limit)
+}
 
-	return state{
-		resident: resident,
-		draining: h.load.Draining,
-		room:     requests < h.load.Limit,
-		load:     float64(requests) / float64(h.load.Limit),
-	}
+func (h *hint) draining(now int64) bool {
+	return now < h.until && h.load.Draining
 }
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -40,8 +40,10 @@
 
 	mu    sync.Mutex
 	view  *member.View
-	ranks map[ranked][]*member.Server
+	ranks map[ranked][]candidate
 	hints map[string]*hint
+	// all holds the servers of each offer, for policies that look at every one.
+	all map[string][]candidate
 }
 
 type ranked struct {
@@ -65,10 +67,13 @@
 		return nil
 	}
 
-	invariant.Check(!slices.Contains(query.Tried, server.Name), "pick.tried", "server %s was tried before", server.Name)
-	p.hint(server.Name).given()
+	if slices.Contains(query.Tried, server.Name) {
+		invariant.Check(false, "pick.tried", "server %s was tried before", server.Name)
+	}
+
+	server.hint.sent++
 
-	return server
+	return server.Server
 }
 
 // Report keeps the load and residency that a server has reported.
@@ -84,7 +89,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return p.hint(server).epoch()
+	return p.hint(server).load.Epoch
 }
 
 // see discards rankings of an older view and hints of servers that are gone.
@@ -94,7 +99,8 @@
 	}
 
 	p.view = view
-	p.ranks = map[ranked][]*member.Server{}
+	p.ranks = map[ranked][]candidate{}
+	p.all = map[string][]candidate{}
 
 	for name := range p.hints {
 		if view.Server(name) == nil {
@@ -120,7 +126,7 @@
 }
 
 // candidates returns the cached ranking, at least size long if there are so many servers.
-func (p *Picker) candidates(query Query, size int) []*member.Server {
+func (p *Picker) candidates(query Query, size int) []candidate {
 	key := ranked{offer: query.Offer, name: query.Name}
 	servers := p.view.Serving(query.Offer)
 
@@ -129,8 +135,29 @@
 		return found
 	}
 
-	found = rank(query.Name, servers, size)
+	found = p.known(rank(query.Name, servers, size))
 	p.ranks[key] = found
 
 	return found
 }
+
+// everyone returns all servers of the offer.
+func (p *Picker) everyone(query Query) []candidate {
+	found, ok := p.all[query.Offer]
+	if !ok {
+		found = p.known(p.view.Serving(query.Offer))
+		p.all[query.Offer] = found
+	}
+
+	return found
+}
+
+func (p *Picker) known(servers []*member.Server) []candidate {
+	list := make([]candidate, 0, len(servers))
+
+	for _, server := range servers {
+		list = append(list, candidate{Server: server, hint: p.hint(server.Name)})
+	}
+
+	return list
+}
--- a/internal/route/pick/policy.go
+++ b/internal/route/pick/policy.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-
-	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
 )
 
 // Policy is the rule by which a server is chosen; it is one of the types of this package.
@@ -33,14 +31,14 @@
 func (LeastLoaded) policy() {}
 func (Random) policy()      {}
 
-func (p *Picker) decide(query Query) *member.Server {
+func (p *Picker) decide(query Query) *candidate {
 	switch policy := p.Policy.(type) {
 	case nil, Spill:
 		return p.spill(query)
 	case Rendezvous:
 		return p.first(query)
 	case LeastLoaded:
-		return p.least(p.view.Serving(query.Offer), query)
+		return p.least(p.everyone(query), query)
 	case Random:
 		return p.random(policy, query)
 	default:
@@ -48,12 +46,12 @@
 	}
 }
 
-func (p *Picker) spill(query Query) *member.Server {
+func (p *Picker) spill(query Query) *candidate {
 	size := firstCandidates
 
 	for {
 		candidates := p.candidates(query, size)
-		if server := p.withRoom(candidates, query); server != nil {
+		if server := withRoom(candidates, query); server != nil {
 			return server
 		}
 
@@ -66,20 +64,18 @@
 }
 
 // withRoom returns the first candidate with the adapter resident and room, or else the first with room.
-func (p *Picker) withRoom(candidates []*member.Server, query Query) *member.Server {
-	var first *member.Server
+func withRoom(candidates []candidate, query Query) *candidate {
+	var first *candidate
 
-	for _, server := range candidates {
-		if skip(server, query) {
-			continue
-		}
+	now := query.Now.UnixNano()
 
-		state := p.hint(server.Name).state(query.Resident, query.Now)
-		if !state.room || state.draining {
+	for i := range candidates {
+		server := &candidates[i]
+		if !server.hint.room(now) || skip(server, query) {
 			continue
 		}
 
-		if state.resident {
+		if server.hint.has(query.Resident) {
 			return server
 		}
 
@@ -93,17 +89,18 @@
 
 // least returns the least loaded server. Draining servers and those that are set aside come last, but are not excluded,
 // because what is known of them may be out of date.
-func (p *Picker) least(servers []*member.Server, query Query) *member.Server {
-	var best *member.Server
+func (p *Picker) least(servers []candidate, query Query) *candidate {
+	var best *candidate
 
 	var lowest float64
 
-	for _, server := range servers {
+	for i := range servers {
+		server := &servers[i]
 		if slices.Contains(query.Tried, server.Name) {
 			continue
 		}
 
-		load := p.penalty(server, query)
+		load := penalty(server, query)
 
 		if best == nil || load < lowest || (load == lowest && p.distance(server) < p.distance(best)) {
 			best, lowest = server, load
@@ -113,13 +110,13 @@
 	return best
 }
 
-func (p *Picker) penalty(server *member.Server, query Query) float64 {
+func penalty(server *candidate, query Query) float64 {
 	const drainingPenalty, asidePenalty = 1e6, 1e9
 
-	state := p.hint(server.Name).state(query.Resident, query.Now)
-	load := state.load
+	now := query.Now.UnixNano()
+	load := server.hint.share(now)
 
-	if state.draining {
+	if server.hint.draining(now) {
 		load += drainingPenalty
 	}
 
@@ -131,7 +128,7 @@
 }
 
 // distance is 0 in this process's failure domain, 1 in its region, and 2 elsewhere.
-func (p *Picker) distance(server *member.Server) int {
+func (p *Picker) distance(server *candidate) int {
 	switch {
 	case server.Domain == p.Domain:
 		return 0
@@ -142,20 +139,20 @@
 	}
 }
 
-func (p *Picker) first(query Query) *member.Server {
+func (p *Picker) first(query Query) *candidate {
 	candidates := p.candidates(query, firstCandidates)
 
-	for _, server := range candidates {
-		if !skip(server, query) {
-			return server
+	for i := range candidates {
+		if !skip(&candidates[i], query) {
+			return &candidates[i]
 		}
 	}
 
 	return p.least(candidates, query)
 }
 
-func (p *Picker) random(policy Random, query Query) *member.Server {
-	servers := p.view.Serving(query.Offer)
+func (p *Picker) random(policy Random, query Query) *candidate {
+	servers := p.everyone(query)
 	if len(servers) == 0 {
 		return nil
 	}
@@ -168,7 +165,7 @@
 	start := draw(len(servers))
 
 	for i := range servers {
-		server := servers[(start+i)%len(servers)]
+		server := &servers[(start+i)%len(servers)]
 		if !skip(server, query) {
 			return server
 		}
@@ -177,6 +174,6 @@
 	return p.least(servers, query)
 }
 
-func skip(server *member.Server, query Query) bool {
+func skip(server *candidate, query Query) bool {
 	return slices.Contains(query.Tried, server.Name) || server.Contact.Aside(query.Now)
 }
--- a/internal/route/pick/rank.go
+++ b/internal/route/pick/rank.go
@@ -30,6 +30,12 @@
 	return hash
 }
 
+// candidate is a ranked server with what is known about it.
+type candidate struct {
+	*member.Server
+	hint *hint
+}
+
 // rank returns the servers with the highest scores for the name, the best first; size bounds their number.
 func rank(name string, servers []*member.Server, size int) []*member.Server {
 	size = min(size, len(servers))
--- /dev/null
+++ b/internal/route/retry/retry_test.go
@@ -0,0 +1,44 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/route/retry"
+)
+
+// Guards against retries that multiply the load while most requests fail, and against a budget that old requests fill.
+func TestRetriesAreAShareOfRecentRequests(t *testing.T) {
+	cases := map[string]struct {
+		requests int
+		wait     time.Duration
+		allowed  int
+	}{
+		"quiet":  {0, 0, 10},
+		"busy":   {1000, 0, 110},
+		"recent": {1000, 8 * time.Second, 110},
+		"lapsed": {1000, 11 * time.Second, 10},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			budget, now := &retry.Budget{}, time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+			for range tc.requests {
+				budget.Request(now)
+			}
+
+			allowed := 0
+
+			for range 2000 {
+				if budget.Retry(now.Add(tc.wait)) {
+					allowed++
+				}
+			}
+
+			assert.Equal(t, allowed, tc.allowed)
+		})
+	}
+}
