Add claims of orders and tests of the relay under faults

Calls that must not be repeated are claimed in the table before they are sent, so that a repetition through another entry returns the stored outcome or asks the agent process.

--- a/internal/entry/api/generate.go
+++ b/internal/entry/api/generate.go
@@ -178,17 +178,17 @@
 
 	state.result, err = send(ctx)
 
-	if unused := unusedTokens(request, state.result, err); unused > 0 {
+	if unused := unusedTokens(request, state.result); unused > 0 {
 		a.Limits.Refund(charge, unused)
 	}
 
 	return state.result, err
 }
 
-// unusedTokens returns what is to be refunded: everything if the request was not run, otherwise the output that was not
+// unusedTokens returns what is to be refunded: everything if this call started nothing, otherwise the output that was not
 // produced. Calls of plain services that may have run are charged in full.
-func unusedTokens(request relay.Request, result relay.Result, err error) int64 {
-	if err != nil && !result.Started {
+func unusedTokens(request relay.Request, result relay.Result) int64 {
+	if !result.Started {
 		return request.Cost
 	}
 
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -178,14 +178,14 @@
 func (a *API) dispatch(ctx context.Context, state *call, planned relay.Request) (relay.Result, error) {
 	work, ok := planned.Work.(relay.Call)
 	if !ok || work.Idempotent {
-		return a.Runner.Do(ctx, planned, noChunks{})
+		return a.Runner.Do(ctx, planned, relay.NoOutput{})
 	}
 
 	key := state.echo.Request().Header.Get(headerIdempotency)
 
 	switch {
 	case key == "":
-		return a.Runner.Do(ctx, planned, noChunks{})
+		return a.Runner.Do(ctx, planned, relay.NoOutput{})
 	case len(key) > longestIdempotency || strings.ContainsFunc(key, unprintable):
 		return relay.Result{}, fault.New(fault.InvalidRequest, "%s must be 1 to %d printable characters", headerIdempotency, longestIdempotency).WithParam(headerIdempotency)
 	case state.account == "":
@@ -218,12 +218,3 @@
 
 	return nil
 }
-
-// noChunks is the Sink of calls, whose answers have no chunks.
-type noChunks struct{}
-
-// Chunk implements relay.Sink.
-func (noChunks) Chunk(*rpc.Chunk) error { return nil }
-
-// Reset implements relay.Sink.
-func (noChunks) Reset() bool { return true }
--- a/internal/entry/relay/contact.go
+++ b/internal/entry/relay/contact.go
@@ -54,6 +54,15 @@
 	return permit, nil
 }
 
+// permit returns a valid ticket of the server's agent process, asking for one if there is none.
+func (r *Relay) permit(ctx context.Context, server *member.Server) (ticket, error) {
+	if found, ok := r.tickets.get(server.Address, time.Now()); ok {
+		return found, nil
+	}
+
+	return r.hello(ctx, server)
+}
+
 // cancelWith sends a Cancel and closes the stream when the context ends. The returned function ends the watch.
 func (s *session) cancelWith(ctx context.Context, stream rpc.DRPCAgent_RunClient, stop func()) func() {
 	end := context.AfterFunc(ctx, func() {
@@ -122,7 +131,7 @@
 	target := Target{Server: s.server.Name, Address: s.server.Address, Boot: s.boot}
 
 	for {
-		state, done, err := s.relay.Query(ctx, target, call.Attempt)
+		state, done, err := s.relay.Query(ctx, target, call.Attempt, true)
 		if err != nil {
 			return nil, unknown(cause)
 		}
@@ -152,11 +161,11 @@
 
 // Query asks one agent process for the state of an attempt, and to refuse it if it was never seen. An answer of another
 // process says nothing and yields ATTEMPT_UNKNOWN.
-func (r *Relay) Query(ctx context.Context, target Target, attempt string) (rpc.AttemptState, *rpc.Done, error) {
+func (r *Relay) Query(ctx context.Context, target Target, attempt string, refuse bool) (rpc.AttemptState, *rpc.Done, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 
-	request := &rpc.QueryRequest{RequestId: ident.New("query"), Attempt: attempt, Boot: target.Boot, Refuse: true}
+	request := &rpc.QueryRequest{RequestId: ident.New("query"), Attempt: attempt, Boot: target.Boot, Refuse: refuse}
 
 	reply, err := r.client(target.Address).Query(ctx, request)
 	if err != nil {
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -96,3 +96,12 @@
 	// Boot is the boot id of the process.
 	Boot string
 }
+
+// NoOutput is the Sink of calls, whose answers have no chunks.
+type NoOutput struct{}
+
+// Chunk implements Sink.
+func (NoOutput) Chunk(*rpc.Chunk) error { return nil }
+
+// Reset implements Sink.
+func (NoOutput) Reset() bool { return true }
--- a/internal/entry/relay/session.go
+++ b/internal/entry/relay/session.go
@@ -77,6 +77,13 @@
 }
 
 func (s *session) run(ctx context.Context) (*rpc.Done, error) {
+	if !s.request.Work.repeatable() {
+		var cancel context.CancelFunc
+
+		ctx, cancel = s.lifetime(ctx)
+		defer cancel()
+	}
+
 	pinned := s.boot != ""
 
 	for {
@@ -155,14 +162,9 @@
 
 // permit returns a valid ticket of the agent process, asking for one if there is none.
 func (s *session) permit(ctx context.Context) (ticket, error) {
-	permit, ok := s.relay.tickets.get(s.server.Address, time.Now())
-	if !ok {
-		var err error
-
-		permit, err = s.relay.hello(ctx, s.server)
-		if err != nil {
-			return ticket{}, s.unsent(ctx, err)
-		}
+	permit, err := s.relay.permit(ctx, s.server)
+	if err != nil {
+		return ticket{}, s.unsent(ctx, err)
 	}
 
 	if s.boot == "" {
@@ -193,6 +195,10 @@
 		return nil, final{fault.Of(err)}
 	}
 
+	if !s.started && s.relay.View.Value().Server(s.server.Name) == nil {
+		return nil, refused{fault.New(fault.Draining, "%s was taken out of service", s.server.Name)}
+	}
+
 	remaining := time.Until(s.request.Deadline)
 	if remaining < time.Millisecond {
 		return nil, final{fault.New(fault.Overloaded, "the deadline passed before the request was sent to a backend server")}
--- a/internal/entry/server/failure_test.go
+++ b/internal/entry/server/failure_test.go
@@ -1,9 +1,11 @@
 package server_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -76,3 +78,257 @@
 		assert.Equal(t, f.agents[1].runs, 5)
 	})
 }
+
+// once runs a script for the first request only.
+func once(first script) script {
+	return func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+		a.run = nil
+		return first(a, stream, request)
+	}
+}
+
+// cutAfter sends the first chunks and then ends the connection without an end marker.
+func cutAfter(chunks int64) script {
+	return func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+		a.begin(request)
+
+		for seq := range chunks {
+			if err := a.chunk(stream, request, seq); err != nil {
+				return err
+			}
+		}
+
+		a.listener.cutConns()
+
+		return nil
+	}
+}
+
+// Guards against answers that are mixed up, repeated or not whole: the caller gets the whole answer or an error.
+func TestAnswersOutOfOrder(t *testing.T) {
+	const whole = "plum bark lily"
+
+	cases := map[string]struct {
+		run script
+		// text is what the caller gets; kind is the error after it.
+		text string
+		kind fault.Kind
+	}{
+		"crossed": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			other := &rpc.RunRequest{RequestId: "run-of-another", Work: request.Work}
+			_ = a.chunk(stream, other, 0)
+			_ = a.finish(stream, other)
+
+			return a.answer(stream, request)
+		}, text: whole},
+		"duplicated": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			_ = a.chunk(stream, request, 0)
+
+			return a.answer(stream, request)
+		}, text: whole},
+		"cut, resumed": {run: once(cutAfter(2)), text: whole},
+		"cut, not resumable": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			if request.Resume > 0 {
+				return a.refuse(stream, request, fault.NotFound)
+			}
+
+			return cutAfter(2)(a, stream, request)
+		}, text: "plum bark", kind: fault.Interrupted},
+		"gap": {run: once(func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			_ = a.chunk(stream, request, 0)
+			_ = a.chunk(stream, request, 2)
+
+			return a.finish(stream, request)
+		}), text: whole},
+		"end too early": {run: once(func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			_ = a.chunk(stream, request, 0)
+
+			return a.finish(stream, request)
+		}), text: whole},
+		"another process": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.boot = "boot-2"
+
+			return cutAfter(1)(a, stream, request)
+		}, text: "plum", kind: fault.Interrupted},
+		"another adapter": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			request.GetGenerate().Version = "9"
+
+			return a.answer(stream, request)
+		}, kind: fault.BackendFailed},
+		"failed": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			_ = a.chunk(stream, request, 0)
+
+			return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Failed{Failed: &rpc.Failed{Kind: "backend_failed"}}})
+		}, text: "plum", kind: fault.BackendFailed},
+		"lost before output": {run: cutAfter(0), kind: fault.OutcomeUnknown},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "s1")
+				f.agents[0].run = tc.run
+
+				got := f.start().do(t, "POST", "/v1/completions", streamBody)
+				assert.Equal(t, streamText(got.body), tc.text, got.body)
+				assert.Equal(t, kindOf(got), tc.kind, got.body)
+				assert.Equal(t, strings.Contains(got.body, "[DONE]"), tc.kind == "")
+				assert.Equal(t, strings.Contains(got.body, "event: error"), tc.kind != "" && tc.text != "")
+			})
+		})
+	}
+}
+
+// streamText joins the texts of a stream.
+func streamText(body string) string {
+	var text strings.Builder
+
+	for part := range strings.SplitSeq(body, `"text":"`) {
+		word, _, _ := strings.Cut(part, `"`)
+		if !strings.HasPrefix(part, "data:") && !strings.HasPrefix(part, "{") {
+			text.WriteString(word)
+		}
+	}
+
+	return text.String()
+}
+
+// Guards against idempotent work that fails with the agent that was running it, although nothing had been sent.
+func TestAgentKilledAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1", "s2")
+
+		for _, a := range f.agents {
+			a.run = func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+				if f.runs() > 0 {
+					return a.answer(stream, request)
+				}
+
+				defer a.listener.cut()
+
+				return cutAfter(1)(a, stream, request)
+			}
+		}
+
+		got := f.start().do(t, "POST", "/v1/chat/completions", chatBody)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Assert(t, strings.Contains(got.body, `"content":"plum bark lily"`), got.body)
+		assert.Equal(t, f.runs(), 2)
+	})
+}
+
+// Guards against a refusal that claims "not run" after another server may have run the request.
+func TestRefusalAfterLossIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1", "s2")
+
+		for _, a := range f.agents {
+			a.run = func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+				if f.runs() > 0 {
+					return a.refuse(stream, request, fault.Overloaded)
+				}
+
+				return cutAfter(0)(a, stream, request)
+			}
+		}
+
+		got := f.start().do(t, "POST", "/v1/chat/completions", chatBody)
+		assert.Equal(t, kindOf(got), fault.OutcomeUnknown, got.body)
+		assert.Assert(t, strings.Contains(got.body, `"ran":"unknown"`), got.body)
+	})
+}
+
+// Guards against requests that wait for a frozen agent until their deadline while another server is idle.
+func TestFrozenAgent(t *testing.T) {
+	cases := map[string]int{"before contact": 0, "with a valid ticket": 1}
+
+	for name, before := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "s1", "s2")
+				e := f.start()
+
+				for range before {
+					e.do(t, "POST", "/v1/chat/completions", chatBody)
+				}
+
+				thaw := make(chan struct{})
+				defer close(thaw)
+
+				frozen := f.agents[0]
+				if before > 0 && f.agents[1].runs > 0 {
+					frozen = f.agents[1]
+				}
+
+				frozen.mu.Lock()
+				frozen.frozen = thaw
+				frozen.mu.Unlock()
+
+				begin := time.Now()
+
+				for range 4 {
+					got := e.do(t, "POST", "/v1/chat/completions", chatBody)
+					assert.Equal(t, got.status, 200, got.body)
+				}
+
+				assert.Assert(t, time.Since(begin) < 10*time.Second, "%s", time.Since(begin))
+			})
+		})
+	}
+}
+
+// Guards against a ticket lapse that refuses a request or that sends one under checks which no longer hold.
+func TestExpiredTicket(t *testing.T) {
+	expire := func(f *fleet) script {
+		return once(func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			f.mu.Lock()
+			f.revoked = f.stale
+			f.mu.Unlock()
+
+			return a.refuse(stream, request, fault.TicketExpired)
+		})
+	}
+
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1")
+		e := f.start()
+		f.agents[0].run = expire(f)
+
+		got := e.do(t, "POST", "/v1/chat/completions", chatBody)
+		assert.Equal(t, got.status, 200, got.body)
+		assert.Equal(t, len(f.agents[0].requests), 2)
+
+		f.stale = true
+		f.agents[0].run = expire(f)
+
+		got = e.do(t, "POST", "/v1/chat/completions", chatBody)
+		assert.Equal(t, kindOf(got), fault.KeyRevoked, got.body)
+		assert.Equal(t, len(f.agents[0].requests), 3)
+	})
+}
+
+// Guards against a backend server that works for a caller who has gone, and against charging for that output.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1")
+		e := f.start()
+		f.agents[0].run = func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			_ = a.chunk(stream, request, 0)
+			<-stream.Context().Done()
+
+			return nil
+		}
+
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+
+		_, err := e.try(ctx, "POST", "/v1/completions", streamBody)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, f.agents[0].cancels, 1)
+		assert.DeepEqual(t, f.unused, []int64{15})
+	})
+}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/entry/api"
 	"github.com/chestnutbeam/chestnutbeam/internal/entry/relay"
 	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
+	"github.com/chestnutbeam/chestnutbeam/internal/order/claim"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/route/pick"
@@ -35,6 +36,8 @@
 	headerBytes = 16 << 10
 	// drainDelay is how long the process is not ready before it refuses new work, so that load balancers notice first.
 	drainDelay = 2 * time.Second
+	// fixedControllers is the number of parts that every entry runs.
+	fixedControllers = 4
 )
 
 // Controller is a part of the process that runs until its context ends.
@@ -94,12 +97,14 @@
 
 	defer func() { _ = pool.Close() }()
 
-	failed := make(chan error, len(s.Controllers)+3)
+	failed := make(chan error, len(s.Controllers)+fixedControllers)
 
-	s.start(running, failed, append([]Controller{s.members}, s.Controllers...)...)
-	s.start(running, failed, controller(s.servePeers))
+	sender := s.relay(pool)
+	orders := &claim.Claims{Table: s.Table, Agents: sender}
 
-	server := s.httpServer(s.handler(pool))
+	s.start(running, failed, append([]Controller{s.members, orders, controller(s.servePeers)}, s.Controllers...)...)
+
+	server := s.httpServer(s.handler(sender, orders))
 	s.start(running, failed, controller(func(context.Context) error { return serveHTTP(server, s.HTTP) }))
 
 	go s.awaitReady(running)
@@ -183,18 +188,20 @@
 	return errors.Wrap(err, "serve HTTP")
 }
 
-func (s *Server) handler(pool *conn.Pool) http.Handler {
-	router := echo.New()
-	router.HideBanner = true
-	router.HidePort = true
-
-	sender := &relay.Relay{
+func (s *Server) relay(pool *conn.Pool) *relay.Relay {
+	return &relay.Relay{
 		Entry:  s.Settings.Place.VM,
 		Pool:   pool,
 		View:   &s.members.View,
 		Picker: &pick.Picker{Domain: s.Settings.Place.Domain, Region: s.Settings.Place.Region},
 		Budget: &retry.Budget{},
 	}
+}
+
+func (s *Server) handler(sender *relay.Relay, orders *claim.Claims) http.Handler {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
 
 	callers := &api.API{
 		Board:    s.Board,
@@ -202,6 +209,7 @@
 		Limits:   s.Limits,
 		Resolver: s.Resolver,
 		Runner:   sender,
+		Orders:   orders,
 	}
 
 	callers.Register(router)
