--- /dev/null
+++ b/internal/limit/holder/records.go
@@ -0,0 +1,61 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/bucket"
+)
+
+const (
+	// recordLimit bounds the debits remembered; a record takes about 250 bytes with its index entry.
+	recordLimit = 1 << 18
+	// recordAge is longer than any request runs; a refund that comes later credits nothing.
+	recordAge = 10 * time.Minute
+)
+
+// record is one debit, or a refund that came before its debit.
+type record struct {
+	id string
+	// share is where the tokens came from.
+	share *share
+	mark  bucket.Mark
+	// taken is in tokens.
+	taken int64
+	// credited is in tokens.
+	credited int64
+	refunded bool
+	at       time.Time
+}
+
+// records finds the debits of all shares by request id. It is bounded in number and age; the oldest are dropped first.
+type records struct {
+	byID  map[string]*record
+	queue []*record
+}
+
+func (r *records) find(id string) *record {
+	return r.byID[id]
+}
+
+// add stores a record, and drops old ones for it.
+func (r *records) add(entry *record) {
+	if r.byID == nil {
+		r.byID = map[string]*record{}
+	}
+
+	for len(r.queue) > 0 && (len(r.queue) >= recordLimit || entry.at.Sub(r.queue[0].at) > recordAge) {
+		r.drop(r.queue[0])
+		r.queue = r.queue[1:]
+	}
+
+	r.queue = append(r.queue, entry)
+	r.byID[entry.id] = entry
+}
+
+func (r *records) drop(old *record) {
+	delete(r.byID, old.id)
+
+	if !old.refunded {
+		old.share.bucket.Close(old.mark)
+	}
+}
