--- a/internal/entry/api/admit.go
+++ b/internal/entry/api/admit.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -41,17 +42,26 @@
 	return nil
 }
 
+// secretOf returns the caller's key, or nothing if there is none. Open routes need it as well, to keep it from backend
+// servers.
+func secretOf(request *http.Request) string {
+	header := request.Header.Get("Authorization")
+	if len(header) <= len(bearer) || !strings.EqualFold(header[:len(bearer)], bearer) {
+		return ""
+	}
+
+	return strings.TrimSpace(header[len(bearer):])
+}
+
 // authenticate finds the client account of the caller's key and checks that it may use the route.
 func (a *API) authenticate(state *call, route string) error {
 	state.route = route
+	state.keyed = true
 
-	header := state.echo.Request().Header.Get("Authorization")
-	if len(header) <= len(bearer) || !strings.EqualFold(header[:len(bearer)], bearer) {
+	if state.secret == "" {
 		return fault.New(fault.KeyMissing, "the request needs a header Authorization: Bearer with a key")
 	}
 
-	state.secret = strings.TrimSpace(header[len(bearer):])
-
 	if err := a.lookup(state); err != nil {
 		return err
 	}
@@ -102,7 +112,7 @@
 // check returns the checks that are repeated before each sending. Open routes need no key and no confirmation.
 func (a *API) check(state *call) func() (relay.Config, error) {
 	return func() (relay.Config, error) {
-		if state.secret == "" {
+		if !state.keyed {
 			return a.open(), nil
 		}
 
--- a/internal/entry/api/body.go
+++ b/internal/entry/api/body.go
@@ -12,12 +12,8 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
-const (
-	// readTime bounds the reading of a request body, so that a slow caller does not hold memory for long.
-	readTime = 10 * time.Second
-	// headerTimeout carries the time that the caller is willing to wait, such as "1.5s".
-	headerTimeout = "X-Timeout"
-)
+// headerTimeout carries the time that the caller is willing to wait, such as "1.5s".
+const headerTimeout = "X-Timeout"
 
 // body reads the request body up to the limit in bytes.
 func (s *call) body(limit int64) ([]byte, error) {
@@ -26,11 +22,6 @@
 		return nil, tooLarge(limit)
 	}
 
-	control := http.NewResponseController(s.echo.Response())
-	_ = control.SetReadDeadline(time.Now().Add(readTime))
-
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-
 	data, err := io.ReadAll(http.MaxBytesReader(s.echo.Response(), request.Body, limit))
 
 	var over *http.MaxBytesError
@@ -41,10 +32,17 @@
 	case err != nil:
 		return nil, fault.Wrap(err, fault.InvalidRequest, "the request body could not be read")
 	default:
+		s.received()
 		return data, nil
 	}
 }
 
+// received ends the server's bound on the reading of a request, which would cancel a request that takes longer to serve.
+func (s *call) received() {
+	control := http.NewResponseController(s.echo.Response())
+	_ = control.SetReadDeadline(time.Time{})
+}
+
 func tooLarge(limit int64) error {
 	return fault.New(fault.TooLarge, "the request body exceeds %d bytes", limit)
 }
@@ -60,7 +58,7 @@
 
 	wanted, err := time.ParseDuration(text)
 	if err != nil || wanted <= 0 {
-		return time.Time{}, fault.New(fault.InvalidRequest, "%s %q: want a time with a unit, such as 1.5s", headerTimeout, text).WithParam(headerTimeout)
+		return time.Time{}, fault.New(fault.InvalidRequest, "%s: want a time with a unit, such as 1.5s", headerTimeout).WithParam(headerTimeout)
 	}
 
 	return s.begin.Add(min(timeout, wanted)), nil
--- a/internal/entry/api/call.go
+++ b/internal/entry/api/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -34,7 +36,9 @@
 	// doc is the document at admission; nil until then.
 	doc *document.Document
 	// secret is the caller's key. It is used for lookups only and goes into no log and no message.
-	secret  string
+	secret string
+	// keyed says that the route needs the key.
+	keyed   bool
 	key     string
 	account string
 	route   string
@@ -46,10 +50,14 @@
 }
 
 func newCall(c echo.Context) *call {
-	state := &call{echo: c, id: ident.New("req"), begin: time.Now()}
+	state := &call{echo: c, id: ident.New("req"), begin: time.Now(), secret: secretOf(c.Request())}
 	c.Set(stateKey, state)
 	c.Response().Header().Set(headerRequest, state.id)
 
+	if c.Request().Body == http.NoBody {
+		state.received()
+	}
+
 	return state
 }
 
@@ -61,7 +69,7 @@
 		running.Inc(1)
 		defer running.Dec(1)
 
-		err := next(c)
+		err := guard(next, c)
 		if err != nil {
 			c.Error(err)
 		}
@@ -72,12 +80,25 @@
 	}
 }
 
+// guard turns a panic into an error, so that the caller gets an answer.
+func guard(next echo.HandlerFunc, c echo.Context) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logrus.WithField("component", "api").Errorf("panic: %v\n%s", cause, debug.Stack())
+
+			err = fault.New(fault.Internal, "internal error")
+		}
+	}()
+
+	return next(c)
+}
+
 func (s *call) log(err error) {
 	status := s.echo.Response().Status
 	elapsed := time.Since(s.begin)
 
 	finished.Update(elapsed)
-	metrics.GetOrRegisterCounter("request.status."+http.StatusText(status), metrics.DefaultRegistry).Inc(1)
+	metrics.GetOrRegisterCounter("request.status."+strconv.Itoa(status), metrics.DefaultRegistry).Inc(1)
 
 	if s.kind != "" {
 		metrics.GetOrRegisterCounter("request.kind."+string(s.kind), metrics.DefaultRegistry).Inc(1)
@@ -101,5 +122,11 @@
 		entry = entry.WithError(err)
 	}
 
+	// Probes and scrapers ask every few seconds.
+	if s.doc == nil && err == nil {
+		entry.Debug("request finished")
+		return
+	}
+
 	entry.Info("request finished")
 }
--- a/internal/entry/api/generate.go
+++ b/internal/entry/api/generate.go
@@ -57,10 +57,10 @@
 	}
 
 	if asked.Stream {
-		return a.stream(state, request, newStream(state, form, asked.Model, asked.Options.Usage))
+		return a.stream(state, request, newStream(state, form, request, asked.Options.Usage))
 	}
 
-	return a.whole(state, request, newBuffer(state, form, asked.Model))
+	return a.whole(state, request, newBuffer(state, form, request))
 }
 
 // plan resolves the adapter, the limits and the cost of a generation.
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -85,7 +85,7 @@
 
 	route, ok := doc.Routes[best]
 	if !ok || !slices.Contains(route.Methods, request.Method) {
-		return "", document.Route{}, fault.New(fault.NotFound, "there is no route for %s %s", request.Method, path)
+		return "", document.Route{}, fault.New(fault.NotFound, "there is no such route for %s", request.Method)
 	}
 
 	return best, route, nil
--- a/internal/entry/api/sink.go
+++ b/internal/entry/api/sink.go
@@ -29,8 +29,15 @@
 	created int64
 }
 
-func newAnswer(state *call, form shape, model string) answer {
-	return answer{state: state, form: form, model: model, created: state.begin.Unix()}
+// newAnswer names the adapter with the version that was resolved.
+func newAnswer(state *call, form shape, request relay.Request) answer {
+	made := answer{state: state, form: form, created: state.begin.Unix()}
+
+	if work, ok := request.Work.(relay.Generate); ok {
+		made.model = work.Adapter + "@" + work.Version
+	}
+
+	return made
 }
 
 func (a *answer) object(kind string, choices ...any) Answer {
@@ -57,8 +64,8 @@
 	text strings.Builder
 }
 
-func newBuffer(state *call, form shape, model string) *buffer {
-	return &buffer{answer: newAnswer(state, form, model)}
+func newBuffer(state *call, form shape, request relay.Request) *buffer {
+	return &buffer{answer: newAnswer(state, form, request)}
 }
 
 // Chunk implements relay.Sink.
@@ -121,8 +128,8 @@
 	begun bool
 }
 
-func newStream(state *call, form shape, model string, usage bool) *stream {
-	return &stream{answer: newAnswer(state, form, model), usage: usage}
+func newStream(state *call, form shape, request relay.Request, usage bool) *stream {
+	return &stream{answer: newAnswer(state, form, request), usage: usage}
 }
 
 // Chunk implements relay.Sink.
--- a/internal/entry/relay/session.go
+++ b/internal/entry/relay/session.go
@@ -68,9 +68,17 @@
 		boot:    boot,
 	}
 
+	before := result.Started
+
 	done, err := s.run(ctx)
-	if err != nil && s.written && !request.Work.repeatable() {
-		return s.resolve(ctx, err)
+	if err == nil || !s.written || request.Work.repeatable() {
+		return done, err
+	}
+
+	done, err = s.resolve(ctx, err)
+
+	if _, ok := failureOf(err).(refused); err != nil && ok {
+		result.Started = before
 	}
 
 	return done, err
--- a/internal/entry/server/args.go
+++ b/internal/entry/server/args.go
@@ -20,12 +20,7 @@
 func (a *Args) Run(ctx context.Context) error {
 	server := &Server{}
 
-	loaded, ok := any(&server.Settings).(settings.Settings)
-	if !ok {
-		return errors.New("the settings of an entry cannot be validated")
-	}
-
-	if err := settings.Load(a.Settings, loaded); err != nil {
+	if err := settings.Load(a.Settings, &server.Settings); err != nil {
 		return err
 	}
 
--- a/internal/entry/server/entry_test.go
+++ b/internal/entry/server/entry_test.go
@@ -134,6 +134,7 @@
 	client *http.Client
 	stop   context.CancelFunc
 	ended  chan error
+	dial   func() (net.Conn, error)
 }
 
 func (f *fleet) start() *entry {
@@ -148,10 +149,9 @@
 	s.Settings.Place.VM = "entry-1"
 	s.Settings.Place.Domain = "a"
 
-	e := &entry{stop: stop, ended: make(chan error, 1)}
+	e := &entry{stop: stop, ended: make(chan error, 1), dial: listener.dial}
 	e.client = &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true,
-		DialContext:       func(context.Context, string, string) (net.Conn, error) { return listener.dial() },
+		DialContext: func(context.Context, string, string) (net.Conn, error) { return listener.dial() },
 	}}
 
 	go func() {
--- /dev/null
+++ b/internal/entry/server/order_test.go
@@ -0,0 +1,181 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+const orderBody = `{"plates":3}`
+
+// Guards against an order that is run twice, or reported wrongly, when the connection to its agent is lost.
+func TestOrderWhoseConnectionIsLost(t *testing.T) {
+	cases := map[string]struct {
+		run  script
+		kind fault.Kind
+		runs int
+	}{
+		"before it was seen": {func(a *agent, _ rpc.DRPCAgent_RunStream, _ *rpc.RunRequest) error {
+			a.listener.cutConns()
+			return nil
+		}, fault.AttemptRefused, 0},
+		"after it was done": {func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			a.complete(request.GetCall())
+			a.listener.cutConns()
+
+			return nil
+		}, "", 1},
+		"while it ran": {func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			a.listener.cutConns()
+
+			return nil
+		}, fault.OutcomeUnknown, 1},
+		"with the agent process": {func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			a.boot = "boot-2"
+			a.listener.cutConns()
+
+			return nil
+		}, fault.OutcomeUnknown, 1},
+		"refused": {refusing(fault.Overloaded), fault.Overloaded, 0},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "s1", "s2")
+				for _, a := range f.agents {
+					a.run = tc.run
+				}
+
+				got := f.start().do(t, "POST", "/press/orders", orderBody)
+				assert.Equal(t, kindOf(got), tc.kind, got.body)
+				assert.Equal(t, f.runs(), tc.runs)
+
+				sent := 0
+				for _, a := range f.agents {
+					sent += len(a.requests)
+				}
+
+				assert.Equal(t, sent, 1, "a call without an idempotency key is sent once")
+			})
+		})
+	}
+}
+
+// Guards against a repetition through another entry that runs the order again, and against a claim that ties an order to
+// a server that refused it.
+func TestOrderWithKey(t *testing.T) {
+	cases := map[string]struct {
+		run   script
+		first fault.Kind
+	}{
+		"done":    {nil, ""},
+		"refused": {once(refusing(fault.Cold)), ""},
+		"answer lost": {once(func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			time.AfterFunc(time.Minute, func() { a.complete(request.GetCall()) })
+			a.listener.cutConns()
+
+			return nil
+		}), fault.OutcomeUnknown},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "s1")
+				f.agents[0].run = tc.run
+
+				got := f.start().do(t, "POST", "/press/orders", orderBody, "Idempotency-Key", "k")
+
+				if tc.first == "" && tc.run != nil {
+					assert.Equal(t, kindOf(got), fault.Cold, "one server cannot take over from itself")
+					got = f.start().do(t, "POST", "/press/orders", orderBody, "Idempotency-Key", "k")
+				}
+
+				assert.Equal(t, kindOf(got), tc.first, got.body)
+				time.Sleep(2 * time.Minute)
+
+				got = f.start().do(t, "POST", "/press/orders", orderBody, "Idempotency-Key", "k")
+				assert.Equal(t, got.status, 201, got.body)
+				assert.Equal(t, f.runs(), 1)
+
+				got = f.start().do(t, "POST", "/press/orders", `{"plates":4}`, "Idempotency-Key", "k")
+				assert.Equal(t, kindOf(got), fault.IdempotencyMismatch)
+				assert.Equal(t, f.runs(), 1)
+			})
+		})
+	}
+}
+
+// Guards against an order that is canceled, or whose outcome is not kept, because its caller went away.
+func TestOrderOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1")
+		e := f.start()
+		f.agents[0].run = once(func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			time.Sleep(3 * time.Second)
+
+			return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Done{Done: a.complete(request.GetCall())}})
+		})
+
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+
+		_, err := e.try(ctx, "POST", "/press/orders", orderBody, "Idempotency-Key", "k")
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, f.agents[0].cancels, 0)
+
+		f.agents[0].boot = "boot-2"
+		got := e.do(t, "POST", "/press/orders", orderBody, "Idempotency-Key", "k")
+		assert.Equal(t, got.status, 201, got.body)
+		assert.Equal(t, f.runs(), 1)
+	})
+}
+
+// Guards against a caller's key that reaches a backend server by any way that a request offers.
+func TestKeyNeverReachesAgents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logs bytes.Buffer
+
+		logrus.SetOutput(&logs)
+		defer logrus.SetOutput(os.Stderr)
+
+		f := newFleet(t, "s1")
+		e := f.start()
+
+		e.do(t, "POST", "/v1/chat/completions", chatBody, "Cookie", "k="+secret, "X-Api-Key", secret)
+		e.do(t, "POST", "/v1/completions", `{"model":"quotes","prompt":"`+secret+`"}`)
+		e.do(t, "POST", "/v1/completions", `{"model":"quotes","prompt":"a","stop":"`+secret+`"}`)
+		e.do(t, "POST", "/press/orders?api_key="+secret+"&KEY="+secret, orderBody, "Accept", secret, "X-Key", secret)
+		e.do(t, "POST", "/press/orders?note="+secret, orderBody)
+		e.do(t, "POST", "/press/"+secret, orderBody)
+		e.do(t, "POST", "/press/orders", secret, "Idempotency-Key", secret)
+		e.do(t, "POST", "/press/orders", orderBody, "Idempotency-Key", secret)
+		e.do(t, "GET", "/dates/may?key="+secret, "")
+		e.do(t, "GET", "/dates/may?note="+secret, "")
+		e.do(t, "GET", "/dates/"+secret, "")
+		e.do(t, "GET", "/nowhere/"+secret, "", "X-Timeout", secret)
+		e.do(t, "GET", "/dates/may", "", "X-Timeout", secret)
+
+		assert.Assert(t, f.runs() >= 4, "%d", f.runs())
+		assert.Assert(t, !bytes.Contains(f.network.sent.Bytes(), []byte(secret)), "on the wire")
+		assert.Assert(t, !bytes.Contains(logs.Bytes(), []byte(secret)), "in the logs")
+	})
+}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -30,6 +30,8 @@
 const (
 	// headerTime bounds the reading of request headers.
 	headerTime = 5 * time.Second
+	// readTime bounds the reading of a whole request, so that a slow caller does not hold memory for long.
+	readTime = 10 * time.Second
 	// idleTime bounds how long an unused connection stays open.
 	idleTime = 2 * time.Minute
 	// headerBytes bounds the size of request headers.
@@ -174,6 +176,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTime,
+		ReadTimeout:       readTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytes,
 	}
--- a/internal/order/claim/claim.go
+++ b/internal/order/claim/claim.go
@@ -3,6 +3,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -48,6 +49,8 @@
 	// version is the version of row in the table; 0 if the row is absent.
 	version int64
 	tried   []string
+	// last is the refusal of the last server that was tried.
+	last error
 }
 
 // Do returns the outcome that is stored for the key, or runs the request. The call must have no attempt id of its own
@@ -84,7 +87,7 @@
 		target, err := o.claims.Agents.Choose(ctx, o.request, o.tried)
 		if err != nil {
 			o.release(ctx)
-			return relay.Result{}, err
+			return relay.Result{}, cmp.Or(o.last, err)
 		}
 
 		claimed, err := o.claim(ctx, target)
@@ -102,6 +105,8 @@
 		if err == nil || !o.again(ctx, err) {
 			return result, err
 		}
+
+		o.last = err
 	}
 }
 
