--- /dev/null
+++ b/internal/platform/rest/rest.go
@@ -0,0 +1,169 @@
+// Package rest makes bounded JSON calls over HTTP to the platform's services and to engines.
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+)
+
+// BodyLimit is the largest response body that is read, in bytes. The largest legitimate one is a snapshot of a fleet
+// document with 40,000 adapters, at 2 to 3 MB.
+const BodyLimit = 64 << 20
+
+// ErrTooLarge is returned for a response body above BodyLimit.
+var ErrTooLarge = errors.New("response body is too large")
+
+// Call is one HTTP call.
+type Call struct {
+	// HTTP is the client to use; nil uses http.DefaultClient.
+	HTTP   *http.Client
+	Method string
+	URL    string
+	// Body is sent as it is; nil sends none.
+	Body []byte
+	// Type is the content type of Body.
+	Type string
+}
+
+// StatusError is an answer other than 200.
+type StatusError struct {
+	// Code is the HTTP status code.
+	Code int
+	// Kind is the error kind in the body; may be empty.
+	Kind fault.Kind
+	// Message is the error message in the body.
+	Message string
+}
+
+// Error implements error.
+func (s *StatusError) Error() string {
+	return http.StatusText(s.Code) + ": " + s.Message
+}
+
+// Problem is the body of an answer other than 200.
+type Problem struct {
+	Error ProblemError `json:"error"`
+}
+
+// ProblemError says what went wrong.
+type ProblemError struct {
+	Kind    fault.Kind `json:"kind"`
+	Message string     `json:"message"`
+}
+
+// Open sends the call and returns the response body, which the caller must close. An answer other than 200 is a
+// *StatusError error.
+func Open(ctx context.Context, call Call) (io.ReadCloser, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+
+	if call.Type != "" {
+		request.Header.Set("Content-Type", call.Type)
+	}
+
+	client := call.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "send request")
+	}
+
+	if response.StatusCode == http.StatusOK {
+		return response.Body, nil
+	}
+
+	defer func() { _ = response.Body.Close() }()
+
+	return nil, statusOf(response)
+}
+
+// Bytes sends the call and returns the whole response body.
+func Bytes(ctx context.Context, call Call) ([]byte, error) {
+	body, err := Open(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+
+	defer func() { _ = body.Close() }()
+
+	return ReadAll(body, BodyLimit)
+}
+
+// JSON sends in as JSON, unless it is nil, and decodes the response into out, unless that is nil.
+func JSON(ctx context.Context, call Call, in, out any) error {
+	call, err := call.encode(in)
+	if err != nil {
+		return err
+	}
+
+	body, err := Bytes(ctx, call)
+	if err != nil || out == nil {
+		return err
+	}
+
+	return errors.Wrap(json.Unmarshal(body, out), "decode response")
+}
+
+// OpenJSON sends in as JSON, unless it is nil, and returns the response body like Open.
+func OpenJSON(ctx context.Context, call Call, in any) (io.ReadCloser, error) {
+	call, err := call.encode(in)
+	if err != nil {
+		return nil, err
+	}
+
+	return Open(ctx, call)
+}
+
+func (c Call) encode(in any) (Call, error) {
+	if in == nil {
+		return c, nil
+	}
+
+	body, err := json.Marshal(in)
+	c.Body = body
+	c.Type = "application/json"
+
+	return c, errors.Wrap(err, "encode request")
+}
+
+// ReadAll reads a body of at most limit bytes.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
+
+	if int64(len(data)) > limit {
+		return nil, ErrTooLarge
+	}
+
+	return data, nil
+}
+
+// problemLimit bounds the error body that is read, in bytes.
+const problemLimit = 64 << 10
+
+func statusOf(response *http.Response) *StatusError {
+	status := &StatusError{Code: response.StatusCode, Message: response.Status}
+
+	var problem Problem
+
+	if err := json.NewDecoder(io.LimitReader(response.Body, problemLimit)).Decode(&problem); err == nil {
+		status.Kind = problem.Error.Kind
+		status.Message = problem.Error.Message
+	}
+
+	return status
+}
--- /dev/null
+++ b/internal/platform/table/client.go
@@ -0,0 +1,75 @@
+package table
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/rest"
+)
+
+// Client is a Table over HTTP. It never repeats a commit.
+type Client struct {
+	// URL is the base URL of the table service.
+	URL string
+	// HTTP is the client to use; nil uses http.DefaultClient.
+	HTTP *http.Client
+}
+
+// CommitReply is the answer to a committed transaction.
+type CommitReply struct {
+	Revision int64 `json:"revision"`
+}
+
+// ListReply is the answer to a list call.
+type ListReply struct {
+	Rows []Row `json:"rows"`
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+
+	err := c.call(ctx, http.MethodGet, "/row?"+url.Values{"key": {key}}.Encode(), nil, &row)
+
+	return row, err
+}
+
+// List implements Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+
+	var reply ListReply
+
+	err := c.call(ctx, http.MethodGet, "/rows?"+query.Encode(), nil, &reply)
+
+	return reply.Rows, err
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, txn Txn) (int64, error) {
+	var reply CommitReply
+
+	err := c.call(ctx, http.MethodPost, "/commit", txn, &reply)
+
+	return reply.Revision, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	err := rest.JSON(ctx, rest.Call{HTTP: c.HTTP, Method: method, URL: c.URL + path}, in, out)
+	if err == nil {
+		return nil
+	}
+
+	var status *rest.StatusError
+
+	if errors.As(err, &status) && status.Code == http.StatusConflict {
+		return fault.New(fault.Conflict, "%s", status.Message)
+	}
+
+	return fault.Wrap(err, fault.TableUnavailable, "table service: %s %s", method, path)
+}
