--- /dev/null
+++ b/internal/standin/switches/switches.go
@@ -0,0 +1,179 @@
+// Package switches holds the fault switches that all stand-ins share.
+package switches
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/rest"
+)
+
+// ErrDropped says that the connection is to be closed without an answer.
+var ErrDropped = errors.New("connection dropped by a fault switch")
+
+// State is the position of the switches.
+type State struct {
+	// Outage drops every call before it takes effect.
+	Outage bool `json:"outage"`
+	// Slow delays every call before it takes effect, in milliseconds.
+	Slow int64 `json:"slow"`
+	// Lost is the number of writing calls still to take effect without an answer.
+	Lost int64 `json:"lost"`
+	// Late delays every answer after the call took effect, in milliseconds.
+	Late int64 `json:"late"`
+}
+
+// Switches is the state of one stand-in. The zero value has no faults.
+type Switches struct {
+	mu    sync.Mutex
+	state State
+}
+
+// State returns the position of the switches.
+func (s *Switches) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.state
+}
+
+// Set changes the position of the switches.
+func (s *Switches) Set(state State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.state = state
+}
+
+// Do runs the effect of a call under the switches. Only calls that write can lose their answer.
+func (s *Switches) Do(ctx context.Context, write bool, effect func() error) error {
+	state := s.take(write)
+
+	if state.Outage {
+		return ErrDropped
+	}
+
+	if err := Sleep(ctx, milliseconds(state.Slow)); err != nil {
+		return err
+	}
+
+	err := effect()
+
+	if late := Sleep(ctx, milliseconds(state.Late)); late != nil {
+		return late
+	}
+
+	if state.Lost > 0 && write {
+		return ErrDropped
+	}
+
+	return err
+}
+
+func (s *Switches) take(write bool) State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	state := s.state
+
+	if write && !state.Outage && state.Lost > 0 {
+		s.state.Lost--
+	}
+
+	return state
+}
+
+// Register adds the switch routes to a server. The fields that a call does not name keep their position.
+func (s *Switches) Register(server *echo.Echo) {
+	server.GET("/switch", func(c echo.Context) error { return c.JSON(http.StatusOK, s.State()) })
+	server.POST("/switch", func(c echo.Context) error {
+		state := s.State()
+		if err := c.Bind(&state); err != nil {
+			return err
+		}
+
+		s.Set(state)
+
+		return c.JSON(http.StatusOK, state)
+	})
+}
+
+// Wrap runs a handler under the switches.
+func (s *Switches) Wrap(handler echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		writer := c.Response().Writer
+		held := &recorder{header: writer.Header(), status: http.StatusOK}
+		c.Response().Writer = held
+
+		write := c.Request().Method != http.MethodGet
+		err := s.Do(c.Request().Context(), write, func() error { return handler(c) })
+		c.Response().Writer = writer
+
+		if errors.Is(err, ErrDropped) {
+			Drop()
+		}
+
+		if err != nil {
+			return err
+		}
+
+		writer.WriteHeader(held.status)
+		_, err = writer.Write(held.body.Bytes())
+
+		return errors.Wrap(err, "write answer")
+	}
+}
+
+// Drop closes the connection of the call without an answer.
+func Drop() {
+	panic(http.ErrAbortHandler)
+}
+
+// Problem writes an error answer.
+func Problem(c echo.Context, status int, kind fault.Kind, message string) error {
+	return c.JSON(status, rest.Problem{Error: rest.ProblemError{Kind: kind, Message: message}})
+}
+
+// Sleep waits for the duration or until the context ends.
+func Sleep(ctx context.Context, duration time.Duration) error {
+	if duration <= 0 {
+		return ctx.Err()
+	}
+
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func milliseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
+// recorder holds an answer back until it is known whether it is sent.
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (r *recorder) Header() http.Header { return r.header }
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) { r.status = status }
--- /dev/null
+++ b/internal/standin/vms/vms.go
@@ -0,0 +1,127 @@
+// Package vms stands in for the platform's list of VMs.
+package vms
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
+)
+
+// Server keeps the list of VMs and shows each change after a lag. The zero value is an empty list without lag.
+type Server struct {
+	// Lag is the time until a change is visible.
+	Lag time.Duration
+	// Switches are the fault switches.
+	Switches switches.Switches
+
+	mu      sync.Mutex
+	current map[string]vms.VM
+	// changes are the lists that are not yet visible, oldest first.
+	changes []change
+	visible vms.List
+	// sequence counts the changes.
+	sequence int64
+}
+
+type change struct {
+	due  time.Time
+	list vms.List
+}
+
+// Put adds or replaces a VM.
+func (s *Server) Put(vm vms.VM) {
+	s.update(func(current map[string]vms.VM) { current[vm.Name] = vm })
+}
+
+// Remove removes a VM.
+func (s *Server) Remove(name string) {
+	s.update(func(current map[string]vms.VM) { delete(current, name) })
+}
+
+// List implements vms.Lister.
+func (s *Server) List(ctx context.Context) (vms.List, error) {
+	var list vms.List
+
+	err := s.Switches.Do(ctx, false, func() error {
+		list = s.read()
+		return nil
+	})
+	if err != nil {
+		return vms.List{}, fault.Wrap(err, fault.BackendFailed, "VM list")
+	}
+
+	return list, nil
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	server := echo.New()
+	server.GET("/vms", s.Switches.Wrap(func(c echo.Context) error { return c.JSON(http.StatusOK, s.read()) }))
+	server.PUT("/vms/:name", s.put)
+	server.DELETE("/vms/:name", s.remove)
+	s.Switches.Register(server)
+
+	return server
+}
+
+func (s *Server) put(c echo.Context) error {
+	var vm vms.VM
+
+	if err := c.Bind(&vm); err != nil {
+		return switches.Problem(c, http.StatusBadRequest, fault.InvalidRequest, err.Error())
+	}
+
+	vm.Name = c.Param("name")
+	s.Put(vm)
+
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) remove(c echo.Context) error {
+	s.Remove(c.Param("name"))
+
+	return c.NoContent(http.StatusOK)
+}
+
+func (s *Server) update(apply func(current map[string]vms.VM)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.current == nil {
+		s.current = map[string]vms.VM{}
+	}
+
+	apply(s.current)
+	s.sequence++
+
+	list := vms.List{Sequence: s.sequence}
+
+	for _, name := range slices.Sorted(maps.Keys(s.current)) {
+		list.VMs = append(list.VMs, s.current[name])
+	}
+
+	s.changes = append(s.changes, change{due: time.Now().Add(s.Lag), list: list})
+}
+
+func (s *Server) read() vms.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	now := time.Now()
+
+	for len(s.changes) > 0 && !s.changes[0].due.After(now) {
+		s.visible = s.changes[0].list
+		s.changes = s.changes[1:]
+	}
+
+	return s.visible
+}
