End loads and answers with the boot of the engine stand-in

A load that was under way survived a restart, and a test in virtual time that ended during an answer stopped with "blocked goroutines remain". Loads now run under a context that ends with the boot, and Close ends all work.

--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -11,7 +12,11 @@
 	"gotest.tools/v3/assert"
 
 	api "github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/rest"
 	"github.com/chestnutbeam/chestnutbeam/internal/standin/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/weight"
 )
 
 var adapter = api.Adapter{Name: "quote", Version: "v3"}
@@ -81,3 +86,129 @@
 	assert.Equal(t, got.end.Seq, int64(len(words)))
 	assert.Equal(t, got.end.Output, int64(12))
 }
+
+// Guards against switches that do nothing, and against a client that takes an incomplete or foreign event for an answer.
+func TestStreamFaults(t *testing.T) {
+	words, _ := engine.Text(request("req"))
+	whole := strings.Join(words, "")
+	cases := map[string]struct {
+		faults  engine.Faults
+		text    string
+		foreign int
+		end     bool
+	}{
+		"none":    {engine.Faults{}, whole, 0, true},
+		"crossed": {engine.Faults{Crossed: 1}, whole, len(words) + 1, true},
+		"cut":     {engine.Faults{Cut: 1}, strings.Join(words[:len(words)/2], ""), 0, false},
+		"late":    {engine.Faults{State: switches.State{Late: 20}}, whole, 0, true},
+		"slow":    {engine.Faults{State: switches.State{Slow: 20}}, whole, 0, true},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			model, client := serve(t, engine.Config{TokenTime: 1})
+			load(t, client, adapter)
+			model.SetFaults(tc.faults)
+
+			stream, err := client.Generate(t.Context(), request("req"))
+			assert.NilError(t, err)
+
+			got := drain(t, "req", stream)
+			assert.Equal(t, got.text, tc.text)
+			assert.Equal(t, got.foreign, tc.foreign)
+			assert.Equal(t, got.end.End, tc.end)
+
+			stream, err = client.Resume(t.Context(), "req", 7)
+			assert.NilError(t, err)
+			assert.Equal(t, drain(t, "req", stream).text, strings.Join(words[7:], ""))
+		})
+	}
+}
+
+// Guards against errors that lose their kind on the way through HTTP.
+func TestErrorKinds(t *testing.T) {
+	order := func(action api.Action, adapter api.Adapter, fence int64) func(api.Engine) error {
+		return func(target api.Engine) error {
+			return target.Order(context.Background(), api.Order{Action: action, Adapter: adapter, Fence: fence})
+		}
+	}
+	generate := func(request api.Request) func(api.Engine) error {
+		return func(target api.Engine) error {
+			_, err := target.Generate(context.Background(), request)
+			return err
+		}
+	}
+	other := api.Adapter{Name: "other", Version: "v1"}
+	cases := map[string]struct {
+		faults engine.Faults
+		call   func(api.Engine) error
+		kind   fault.Kind
+	}{
+		"adapter not resident": {engine.Faults{}, generate(api.Request{ID: "r", Model: "base", Adapter: other}), fault.NotFound},
+		"model not loaded":     {engine.Faults{}, generate(api.Request{ID: "r", Model: "no", Adapter: adapter}), fault.NotFound},
+		"slots taken":          {engine.Faults{}, order(api.ActionLoad, other, 2), fault.Overloaded},
+		"old fencing number":   {engine.Faults{}, order(api.ActionUnload, adapter, 1), fault.Conflict},
+		"unknown action":       {engine.Faults{}, order("move", adapter, 2), fault.BackendFailed},
+		"outage":               {engine.Faults{State: switches.State{Outage: true}}, generate(request("r")), fault.BackendFailed},
+		"lost answer":          {engine.Faults{State: switches.State{Lost: 1}}, generate(request("r")), fault.BackendFailed},
+		"unknown request": {engine.Faults{}, func(target api.Engine) error {
+			_, err := target.Resume(context.Background(), "unknown", 0)
+			return err
+		}, fault.NotFound},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			model, client := serve(t, engine.Config{Models: []string{"base"}, Slots: 1, TokenTime: 1, Fencing: true})
+			assert.NilError(t, order(api.ActionLoad, adapter, 2)(client))
+
+			for _, target := range []api.Engine{client, model} {
+				model.SetFaults(tc.faults)
+
+				err := tc.call(target)
+				assert.Assert(t, fault.Is(err, tc.kind), "%T: %v", target, err)
+			}
+		})
+	}
+}
+
+// Guards against a lost answer that also undoes its effect, and against a switch call that resets other switches.
+func TestLostAnswerTakesEffect(t *testing.T) {
+	model := engine.New(engine.Config{TokenTime: 1})
+	server := httptest.NewServer(model.Handler())
+	t.Cleanup(server.Close)
+
+	for _, body := range []string{`{"lost":1}`, `{"cut":3}`} {
+		_, err := rest.Bytes(t.Context(), rest.Call{
+			Method: http.MethodPost, URL: server.URL + "/switch", Body: []byte(body), Type: "application/json",
+		})
+		assert.NilError(t, err)
+	}
+
+	assert.Equal(t, model.Faults().Cut, int64(3))
+
+	client := &api.Client{URL: server.URL}
+	err := client.Order(t.Context(), api.Order{Action: api.ActionLoad, Adapter: adapter})
+	assert.Assert(t, fault.Is(err, fault.BackendFailed), "%v", err)
+
+	report, err := client.Report(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, report.Resident, []api.Adapter{adapter})
+}
+
+// Guards against an engine that loads without the weight store, and against headers that go unrecorded.
+func TestLoadsFromTheWeightStore(t *testing.T) {
+	store := &weight.Store{}
+	weights := httptest.NewServer(store.Handler())
+	t.Cleanup(weights.Close)
+
+	model, client := serve(t, engine.Config{Fetch: (&weight.Client{URL: weights.URL}).Load})
+	load(t, client, adapter)
+	assert.Equal(t, store.Record().Loads, int64(1))
+	assert.DeepEqual(t, model.Record().Headers["Content-Type"], []string{"application/json"})
+
+	store.Switches.Set(switches.State{Outage: true})
+
+	err := client.Order(t.Context(), api.Order{Action: api.ActionLoad, Adapter: api.Adapter{Name: "other"}})
+	assert.Assert(t, fault.Is(err, fault.AdapterUnavailable), "%v", err)
+}
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -55,7 +55,10 @@
 
 	mu sync.Mutex
 	// boot changes with each restart; work of an earlier boot has no effect.
-	boot      string
+	boot string
+	// ctx ends with the boot, and with it the loads that are under way.
+	ctx       context.Context
+	cancel    context.CancelFunc
 	fence     int64
 	coldUntil time.Time
 	// quiet says that the present cold start is not reported.
@@ -104,15 +107,29 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	m.halt()
+	m.reset()
+}
+
+// Close ends all work, so that no goroutine is left.
+func (m *Model) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.halt()
+}
+
+func (m *Model) halt() {
+	m.cancel()
+
 	for _, a := range m.answers {
 		a.cut()
 	}
-
-	m.reset()
 }
 
 func (m *Model) reset() {
 	m.boot = ident.New("engine")
+	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.fence = 0
 	m.coldUntil = time.Now().Add(m.config.ColdTime)
 	m.quiet = false
--- a/internal/standin/engine/slots.go
+++ b/internal/standin/engine/slots.go
@@ -72,7 +72,7 @@
 		m.loading[adapter] = current
 		m.note()
 
-		go m.fetch(m.boot, adapter, current)
+		go m.fetch(m.ctx, adapter, current)
 	}
 
 	m.mu.Unlock()
@@ -86,8 +86,8 @@
 	}
 }
 
-func (m *Model) fetch(boot string, adapter engine.Adapter, current *load) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+func (m *Model) fetch(boot context.Context, adapter engine.Adapter, current *load) {
+	ctx, cancel := context.WithTimeout(boot, fetchTimeout)
 	defer cancel()
 
 	err := m.config.Fetch(ctx, adapter)
@@ -97,7 +97,7 @@
 	defer close(current.done)
 
 	switch {
-	case m.boot != boot:
+	case boot.Err() != nil:
 		current.err = fault.New(fault.BackendFailed, "the engine restarted")
 		return
 	case err != nil:
