Read the body of a call to a stand-in ahead of its handler

net/http notices that a client has gone only once the body was read, so a slow call went on after its client had given up and kept its server from closing: the new TestFaultsAreTableUnavailable/slow timed out after 60 s. The wrapper of the fault switches now reads the body first.

--- a/internal/standin/switches/switches.go
+++ b/internal/standin/switches/switches.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -108,6 +109,10 @@
 // Wrap runs a handler under the switches.
 func (s *Switches) Wrap(handler echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		if err := readBody(c.Request()); err != nil {
+			return err
+		}
+
 		writer := c.Response().Writer
 		held := &recorder{header: writer.Header(), status: http.StatusOK}
 		c.Response().Writer = held
@@ -131,6 +136,14 @@
 	}
 }
 
+// readBody reads the body ahead of the handler; net/http notices that a client has gone only once the body was read.
+func readBody(request *http.Request) error {
+	body, err := io.ReadAll(request.Body)
+	request.Body = io.NopCloser(bytes.NewReader(body))
+
+	return errors.Wrap(err, "read call")
+}
+
 // Drop closes the connection of the call without an answer.
 func Drop() {
 	panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/standin/table/table_test.go
@@ -0,0 +1,92 @@
+package table_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	platform "github.com/chestnutbeam/chestnutbeam/internal/platform/table"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/table"
+)
+
+// create returns a transaction that writes a row that must be absent.
+func create(key, value string) platform.Txn {
+	return platform.Txn{
+		Checks: []platform.Check{{Key: key}},
+		Puts:   []platform.Put{{Key: key, Value: []byte(value)}},
+	}
+}
+
+func serve(t *testing.T) (*table.Server, *platform.Client) {
+	t.Helper()
+
+	standin := &table.Server{}
+	server := httptest.NewServer(standin.Handler())
+	t.Cleanup(server.Close)
+
+	return standin, &platform.Client{URL: server.URL}
+}
+
+// Guards against keys and values that HTTP alters, and against a conflict that is taken for an outage.
+func TestClientReadsWhatItCommitted(t *testing.T) {
+	_, client := serve(t)
+	key := "order/a&b=c/ö key?"
+
+	revision, err := client.Commit(t.Context(), create(key, "\x00value\xff"))
+	assert.NilError(t, err)
+
+	row, err := client.Get(t.Context(), key)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, row, platform.Row{Key: key, Value: []byte("\x00value\xff"), Version: revision})
+
+	_, err = client.Commit(t.Context(), create(key, "again"))
+	assert.Assert(t, fault.Is(err, fault.Conflict), "%v", err)
+
+	_, err = client.Commit(t.Context(), create("order/b", ""))
+	assert.NilError(t, err)
+
+	rows, err := client.List(t.Context(), "order/", key, 5)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 1)
+
+	absent, err := client.Get(t.Context(), "absent")
+	assert.NilError(t, err)
+	assert.Equal(t, absent.Version, int64(0))
+}
+
+// Guards against a failed commit of the wrong kind: whatever ends it, only a conflict says that nothing was written.
+func TestFaultsAreTableUnavailable(t *testing.T) {
+	cases := map[string]struct {
+		state   switches.State
+		written bool
+	}{
+		"outage":      {switches.State{Outage: true}, false},
+		"lost answer": {switches.State{Lost: 1}, true},
+		"late answer": {switches.State{Late: 60_000}, true},
+		"slow":        {switches.State{Slow: 60_000}, false},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			standin, client := serve(t)
+			standin.Switches.Set(tc.state)
+
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+
+			_, err := client.Commit(ctx, create("key", "value"))
+			assert.Assert(t, fault.Is(err, fault.TableUnavailable), "%v", err)
+
+			standin.Switches.Set(switches.State{})
+
+			row, err := client.Get(t.Context(), "key")
+			assert.NilError(t, err)
+			assert.Equal(t, row.Version != 0, tc.written)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/vms/vms_test.go
@@ -0,0 +1,70 @@
+package vms_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/rest"
+	platform "github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/vms"
+)
+
+// Guards against a list that the HTTP routes do not change, and against an outage that reads as an empty list.
+func TestListOverHTTP(t *testing.T) {
+	standin := &vms.Server{}
+	server := httptest.NewServer(standin.Handler())
+	t.Cleanup(server.Close)
+
+	client := &platform.Client{URL: server.URL}
+	vm := platform.VM{Name: "vm-1", Address: "10.0.0.1:7000", Domain: "d1", Role: platform.RoleAgent, Serves: []string{"model/base"}}
+	change := rest.Call{Method: http.MethodPut, URL: server.URL + "/vms/vm-1"}
+	assert.NilError(t, rest.JSON(t.Context(), change, vm, nil))
+
+	list, err := client.List(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, list, platform.List{Sequence: 1, VMs: []platform.VM{vm}})
+
+	change.Method = http.MethodDelete
+	assert.NilError(t, rest.JSON(t.Context(), change, nil, nil))
+
+	list, err = client.List(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, list.Sequence, int64(2))
+	assert.Equal(t, len(list.VMs), 0)
+
+	standin.Switches.Set(switches.State{Outage: true})
+
+	_, err = client.List(t.Context())
+	assert.Assert(t, fault.Is(err, fault.BackendFailed), "%v", err)
+}
+
+// Guards against a list without the lag that members must cope with.
+func TestChangesAreVisibleAfterTheLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standin := &vms.Server{Lag: time.Minute}
+		count := func() int {
+			list, err := standin.List(t.Context())
+			assert.NilError(t, err)
+
+			return len(list.VMs)
+		}
+
+		standin.Put(platform.VM{Name: "vm-1"})
+		time.Sleep(time.Minute - time.Millisecond)
+		assert.Equal(t, count(), 0)
+
+		standin.Remove("vm-1")
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, count(), 1)
+
+		time.Sleep(time.Minute)
+		assert.Equal(t, count(), 0)
+	})
+}
--- /dev/null
+++ b/internal/standin/weight/weight_test.go
@@ -0,0 +1,64 @@
+package weight_test
+
+import (
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/weight"
+)
+
+// Guards against a store that allows more loads than the real one, or that hides what too many in transit cost.
+func TestLoadTimes(t *testing.T) {
+	cases := map[string]struct {
+		loads int
+		total time.Duration
+	}{
+		"one":                    {1, weight.Duration},
+		"as many as fit":         {weight.Transit, weight.Duration},
+		"twice as many as fit":   {2 * weight.Transit, 8*weight.Interval + 2*weight.Duration},
+		"four times what fits":   {4 * weight.Transit, 24*weight.Interval + 4*weight.Duration},
+		"a second's worth later": {weight.Transit + 4, 4*weight.Interval + weight.Duration*3/2},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var (
+					store weight.Store
+					group sync.WaitGroup
+				)
+
+				start := time.Now()
+
+				for range tc.loads {
+					group.Go(func() { assert.Check(t, store.Load(t.Context(), engine.Adapter{})) })
+				}
+
+				group.Wait()
+				assert.Equal(t, time.Since(start), tc.total)
+				assert.Equal(t, store.Record(), weight.Record{Loads: int64(tc.loads), Highest: int64(tc.loads)})
+			})
+		})
+	}
+}
+
+// Guards against a client that takes a failed load for a good one.
+func TestClientLoads(t *testing.T) {
+	store := &weight.Store{}
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+
+	client := &weight.Client{URL: server.URL}
+	assert.NilError(t, client.Load(t.Context(), engine.Adapter{Name: "a", Version: "v1"}))
+
+	store.Switches.Set(switches.State{Outage: true})
+	assert.Assert(t, client.Load(t.Context(), engine.Adapter{Name: "a", Version: "v1"}) != nil)
+	assert.Equal(t, store.Record().Loads, int64(1))
+}
