--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -52,6 +52,7 @@
 		request service.Request
 	}{
 		"fresh":               {nil, service.Request{Method: http.MethodPost, Path: "/book", Body: []byte("plate")}},
+		"fresh, key":          {nil, service.Request{Method: http.MethodPost, Path: "/book", Headers: key}},
 		"kept":                {keep, service.Request{Method: http.MethodPost, Path: "/book", Body: []byte("plate")}},
 		"kept, key":           {keep, service.Request{Method: http.MethodPost, Path: "/book", Headers: key, Body: []byte("plate")}},
 		"kept, key, no body":  {keep, service.Request{Method: http.MethodPost, Path: "/book", Headers: key}},
@@ -79,8 +80,9 @@
 	var calls atomic.Int64
 
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		calls.Add(1)
-		http.Redirect(w, r, "/elsewhere", http.StatusSeeOther)
+		if calls.Add(1) == 1 {
+			http.Redirect(w, r, "/elsewhere", http.StatusSeeOther)
+		}
 	}))
 	t.Cleanup(server.Close)
 
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -34,6 +34,9 @@
 	VMs    *VMs    `arg:"subcommand:vms"    help:"list of live and leaving VMs"`
 	Engine *Engine `arg:"subcommand:engine" help:"model engine"`
 	Order  *Plain  `arg:"subcommand:order"  help:"booking and availability service"`
+
+	// Ready is called with the listening address once calls are accepted; may be nil.
+	Ready func(address string) `arg:"-"`
 }
 
 // Plain is the command line of a stand-in without settings of its own.
@@ -66,17 +69,17 @@
 func (a *Args) Run(ctx context.Context) error {
 	switch {
 	case a.Table != nil:
-		return serve(ctx, "table", a.Table.Listen, (&table.Server{}).Handler())
+		return a.serve(ctx, "table", a.Table.Listen, (&table.Server{}).Handler())
 	case a.Object != nil:
-		return serve(ctx, "object", a.Object.Listen, (&object.Server{}).Handler())
+		return a.serve(ctx, "object", a.Object.Listen, (&object.Server{}).Handler())
 	case a.Weight != nil:
-		return serve(ctx, "weight", a.Weight.Listen, (&weight.Store{}).Handler())
+		return a.serve(ctx, "weight", a.Weight.Listen, (&weight.Store{}).Handler())
 	case a.VMs != nil:
-		return serve(ctx, "vms", a.VMs.Listen, (&vms.Server{Lag: a.VMs.Lag}).Handler())
+		return a.serve(ctx, "vms", a.VMs.Listen, (&vms.Server{Lag: a.VMs.Lag}).Handler())
 	case a.Engine != nil:
-		return serve(ctx, "engine", a.Engine.Listen, engine.New(a.Engine.config()).Handler())
+		return a.serve(ctx, "engine", a.Engine.Listen, engine.New(a.Engine.config()).Handler())
 	case a.Order != nil:
-		return serve(ctx, "order", a.Order.Listen, (&order.Server{}).Handler())
+		return a.serve(ctx, "order", a.Order.Listen, (&order.Server{}).Handler())
 	default:
 		return fault.New(fault.InvalidRequest, "name a stand-in: table, object, weight, vms, engine or order")
 	}
@@ -102,7 +105,7 @@
 	return config
 }
 
-func serve(ctx context.Context, kind, address string, handler http.Handler) error {
+func (a *Args) serve(ctx context.Context, kind, address string, handler http.Handler) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
@@ -110,6 +113,10 @@
 
 	logrus.WithFields(logrus.Fields{"component": "standin", "server": kind}).Infof("serving on %s", listener.Addr())
 
+	if a.Ready != nil {
+		a.Ready(listener.Addr().String())
+	}
+
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 
