Follow no redirects and bound dials in the clients

http.DefaultClient follows a 307 with the body, which sends a commit twice, dials for up to 30 s, keeps two idle connections for each address and honours proxy variables. Calls without a client now use one with a dial timeout of 1 s and 64 idle connections for each address, and no client follows redirects.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -16,7 +16,7 @@
 type Client struct {
 	// URL is the base URL of the engine.
 	URL string
-	// HTTP is the client to use; nil uses http.DefaultClient. It must set no overall timeout, which would cut streams.
+	// HTTP is the client to use; nil uses rest.Default. It must set no overall timeout, which would cut streams.
 	HTTP *http.Client
 }
 
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -25,7 +26,11 @@
 const RequestHeader = "X-Request-Id"
 
 // fresh dials a connection for each call, because net/http repeats requests only on reused connections.
-var fresh = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+var fresh = &http.Client{Transport: &http.Transport{
+	DialContext:        (&net.Dialer{Timeout: rest.DialTimeout}).DialContext,
+	DisableKeepAlives:  true,
+	DisableCompression: true,
+}}
 
 // connectionHeaders concern one connection only and are not part of a response.
 var connectionHeaders = map[string]bool{
@@ -99,14 +104,11 @@
 }
 
 func (c *Client) client() *http.Client {
-	client := *fresh
 	if c.HTTP != nil {
-		client = *c.HTTP
+		return rest.Once(c.HTTP)
 	}
 
-	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-	return &client
+	return rest.Once(fresh)
 }
 
 func (c *Client) limit() int64 {
--- a/internal/platform/object/client.go
+++ b/internal/platform/object/client.go
@@ -15,7 +15,7 @@
 type Client struct {
 	// URL is the base URL of the object store.
 	URL string
-	// HTTP is the client to use; nil uses http.DefaultClient.
+	// HTTP is the client to use; nil uses rest.Default.
 	HTTP *http.Client
 }
 
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,12 +19,30 @@
 // document with 40,000 adapters, at 2 to 3 MB.
 const BodyLimit = 64 << 20
 
+const (
+	// DialTimeout bounds a TCP dial, so that a VM that drops packets is noticed soon.
+	DialTimeout = time.Second
+	// idleConnections is the number of idle connections kept for each address; a batch of requests to one engine uses
+	// that many at once.
+	idleConnections = 64
+	// idleExpiration closes connections that were not used for this long.
+	idleExpiration = 30 * time.Second
+)
+
+// Default is the HTTP client of calls that name none. It uses no proxy, because addresses are those of the own network.
+var Default = &http.Client{Transport: &http.Transport{
+	DialContext:         (&net.Dialer{Timeout: DialTimeout}).DialContext,
+	MaxIdleConnsPerHost: idleConnections,
+	IdleConnTimeout:     idleExpiration,
+	DisableCompression:  true,
+}}
+
 // ErrTooLarge is returned for a response body above BodyLimit.
 var ErrTooLarge = errors.New("response body is too large")
 
 // Call is one HTTP call.
 type Call struct {
-	// HTTP is the client to use; nil uses http.DefaultClient.
+	// HTTP is the client to use; nil uses Default. Redirects are never followed.
 	HTTP   *http.Client
 	Method string
 	URL    string
@@ -70,12 +90,7 @@
 		request.Header.Set("Content-Type", call.Type)
 	}
 
-	client := call.HTTP
-	if client == nil {
-		client = http.DefaultClient
-	}
-
-	response, err := client.Do(request)
+	response, err := Once(call.HTTP).Do(request)
 	if err != nil {
 		return nil, errors.Wrap(err, "send request")
 	}
@@ -126,6 +141,19 @@
 	return Open(ctx, call)
 }
 
+// Once returns a copy of the client, or of Default if it is nil, that does not follow redirects: following one sends the
+// call a second time.
+func Once(client *http.Client) *http.Client {
+	if client == nil {
+		client = Default
+	}
+
+	once := *client
+	once.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+	return &once
+}
+
 func (c Call) encode(in any) (Call, error) {
 	if in == nil {
 		return c, nil
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -1,7 +1,10 @@
 package rest_test
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -19,3 +22,23 @@
 	_, err = rest.ReadAll(strings.NewReader("123456"), 5)
 	assert.Assert(t, errors.Is(err, rest.ErrTooLarge), "%v", err)
 }
+
+// Guards against a redirect that sends a commit, with its body, a second time.
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	var calls atomic.Int64
+
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			http.Redirect(w, r, "/commit", http.StatusTemporaryRedirect)
+		}
+	}))
+	t.Cleanup(server.Close)
+
+	err := rest.JSON(t.Context(), rest.Call{Method: http.MethodPost, URL: server.URL}, "transaction", nil)
+
+	var status *rest.StatusError
+
+	assert.Assert(t, errors.As(err, &status), "%v", err)
+	assert.Equal(t, status.Code, http.StatusTemporaryRedirect)
+	assert.Equal(t, calls.Load(), int64(1))
+}
--- a/internal/platform/table/client.go
+++ b/internal/platform/table/client.go
@@ -16,7 +16,7 @@
 type Client struct {
 	// URL is the base URL of the table service.
 	URL string
-	// HTTP is the client to use; nil uses http.DefaultClient.
+	// HTTP is the client to use; nil uses rest.Default.
 	HTTP *http.Client
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -64,6 +64,10 @@
 func serve(t *testing.T, config engine.Config) (*engine.Model, *api.Client) {
 	t.Helper()
 
+	if config.Fetch == nil {
+		config.Fetch = func(context.Context, api.Adapter) error { return nil }
+	}
+
 	model := engine.New(config)
 	server := httptest.NewServer(model.Handler())
 	t.Cleanup(server.Close)
