Test the fault switches in virtual time

Two tests depended on a call reaching a loopback server within 50 or 100 ms, which a busy VM can miss. The switches are now tested in virtual time, late answers included, and the service client's context ends when the server has the call.

Seen failing first: a lost read ("connection dropped by a fault switch") and a late answer that is not held back (nil instead of the deadline).

--- a/internal/backend/service/client_test.go
+++ b/internal/backend/service/client_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -138,13 +137,15 @@
 	assert.Equal(t, lost.Record().Bookings["plate"], int64(1))
 }
 
-// Guards against a call that outlives its deadline because the service does not answer.
-func TestDeadlineEndsTheCall(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
-	t.Cleanup(server.Close)
+// Guards against a call that outlives its context because the service does not answer.
+func TestContextEndsTheCall(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
 
-	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer cancel()
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
 
 	_, err := (&service.Client{URL: server.URL}).Call(ctx, service.Request{Method: http.MethodGet, Path: "/"})
 	assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
--- /dev/null
+++ b/internal/standin/switches/switches_test.go
@@ -0,0 +1,54 @@
+package switches_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
+)
+
+// Guards against switches that act on the wrong side of the effect, and against lost answers of calls that only read.
+func TestSwitchesActBeforeOrAfterTheEffect(t *testing.T) {
+	cases := map[string]struct {
+		state  switches.State
+		write  bool
+		effect bool
+		err    error
+	}{
+		"none":       {switches.State{}, true, true, nil},
+		"outage":     {switches.State{Outage: true}, false, false, switches.ErrDropped},
+		"lost write": {switches.State{Lost: 1}, true, true, switches.ErrDropped},
+		"lost read":  {switches.State{Lost: 1}, false, true, nil},
+		"slow":       {switches.State{Slow: 900}, true, true, nil},
+		"too slow":   {switches.State{Slow: 1100}, true, false, context.DeadlineExceeded},
+		"too late":   {switches.State{Late: 1100}, true, true, context.DeadlineExceeded},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+
+				var (
+					set    switches.Switches
+					effect bool
+				)
+
+				set.Set(tc.state)
+
+				err := set.Do(ctx, tc.write, func() error {
+					effect = true
+					return nil
+				})
+				assert.Assert(t, errors.Is(err, tc.err), "%v", err)
+				assert.Equal(t, effect, tc.effect)
+			})
+		})
+	}
+}
--- a/internal/standin/table/table_test.go
+++ b/internal/standin/table/table_test.go
@@ -67,7 +67,6 @@
 	}{
 		"outage":      {switches.State{Outage: true}, false},
 		"lost answer": {switches.State{Lost: 1}, true},
-		"late answer": {switches.State{Late: 60_000}, true},
 		"slow":        {switches.State{Slow: 60_000}, false},
 	}
 
