--- a/internal/standin/engine/model_test.go
+++ b/internal/standin/engine/model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,13 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/standin/engine"
 )
 
+// TestMain fixes the seed of randomised runs; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+
+	os.Exit(m.Run())
+}
+
 func generate(t *testing.T, model *engine.Model, id string) api.Stream {
 	t.Helper()
 
