Test the agent process in memory and let a drain finish queued work

TestDrain failed at first: queued requests were refused as draining at their start ("refused draining" where "done" was wanted), and a late request was told that its ticket had expired instead of the drain.

--- a/internal/agent/server/check.go
+++ b/internal/agent/server/check.go
@@ -52,6 +52,10 @@
 		return fault.New(fault.BootChanged, "this is agent process %s", s.boot)
 	}
 
+	if s.Board.Draining.Value() {
+		return fault.New(fault.Draining, "the agent is shutting down")
+	}
+
 	// A request that waited in the queue may outlive its ticket: the ticket bounds how long an entry may have been frozen
 	// before it sent the request.
 	if !s.tickets.check(now, a.request.Entry, a.request.Ticket) {
@@ -61,12 +65,9 @@
 	return s.catchUp(ctx, a)
 }
 
-// check makes the checks that hold both on arrival and at the start of the work.
+// check makes the checks that hold both on arrival and at the start of the work. Work that was queued before a drain began
+// is finished by it.
 func (s *Server) check(now time.Time, a *arrival) error {
-	if s.Board.Draining.Value() {
-		return fault.New(fault.Draining, "the agent is shutting down")
-	}
-
 	if !s.backend.up() {
 		return fault.New(fault.NotReady, "the backend server does not answer")
 	}
--- /dev/null
+++ b/internal/agent/server/check_test.go
@@ -0,0 +1,211 @@
+package server_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+// edit replaces the document with a changed copy at a higher version.
+func edit(f *fixture, change func(doc *document.Document)) {
+	doc := fleet()
+	doc.Version = 2
+	change(doc)
+	f.board.Document.Set(doc)
+}
+
+var withdrawals = map[string]struct {
+	withdraw func(f *fixture)
+	kind     string
+}{
+	"key revoked": {func(f *fixture) {
+		edit(f, func(doc *document.Document) { doc.Keys["k1"] = document.Key{Account: "a1", Revoked: true} })
+	}, "refused key_revoked"},
+	"revocation not yet committed": {func(f *fixture) {
+		f.board.Revoked.Set(map[string]board.Revocation{"k1": {Key: "k1"}})
+	}, "refused key_revoked"},
+	"key of another account": {func(f *fixture) {
+		edit(f, func(doc *document.Document) { doc.Keys["k1"] = document.Key{Account: "a2"} })
+	}, "refused forbidden"},
+	"key deleted": {func(f *fixture) {
+		edit(f, func(doc *document.Document) { delete(doc.Keys, "k1") })
+	}, "refused key_unknown"},
+	"domain out": {func(f *fixture) {
+		edit(f, func(doc *document.Document) { doc.Domains["d1"] = document.Domain{Out: true} })
+	}, "refused draining"},
+	"VM out": {func(f *fixture) {
+		edit(f, func(doc *document.Document) { doc.VMs = map[string]document.VM{"v1": {Out: true}} })
+	}, "refused draining"},
+	"configuration not confirmed": {func(f *fixture) {
+		f.source.stale.Store(true)
+		time.Sleep(7 * time.Second)
+	}, "refused stale_config"},
+	"engine down": {func(f *fixture) {
+		f.engine.set(func() { f.engine.down = true })
+		time.Sleep(2 * time.Second)
+	}, "refused not_ready"},
+}
+
+// Guards against work that starts although the right to start it was withdrawn while it was queued.
+func TestWithdrawnWhileQueued(t *testing.T) {
+	for name, test := range withdrawals {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, false, func(t *testing.T, f *fixture) {
+				f.engine.set(func() { f.engine.pace = 2 * time.Second })
+
+				running := []<-chan result{f.begin(f.generate("r1", "x")), f.begin(f.generate("r2", "x"))}
+				time.Sleep(time.Second)
+
+				queued := f.begin(f.generate("q", "x"))
+				time.Sleep(time.Second)
+				test.withdraw(f)
+
+				for _, r := range running {
+					assert.Equal(t, (<-r).kind(), "done", "running work finishes")
+				}
+
+				assert.Equal(t, (<-queued).kind(), test.kind)
+				f.engine.set(func() { assert.Equal(t, len(f.engine.asked), 2) })
+			})
+		})
+	}
+}
+
+// Guards against work that starts for a request that must be refused on arrival.
+func TestRefusedOnArrival(t *testing.T) {
+	for name, test := range withdrawals {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, false, func(t *testing.T, f *fixture) {
+				test.withdraw(f)
+				f.greet()
+
+				request := f.generate("r1", "x")
+				if name == "configuration not confirmed" {
+					request.ConfigAgeMs = 5001
+				}
+
+				assert.Equal(t, f.run(request).kind(), test.kind)
+				f.engine.set(func() { assert.Equal(t, len(f.engine.asked), 0) })
+			})
+		})
+	}
+}
+
+// Guards against requests that are malformed, outdated or meant for another process.
+func TestRequestFields(t *testing.T) {
+	tests := map[string]struct {
+		change func(f *fixture, request *rpc.RunRequest)
+		kind   string
+	}{
+		"valid":               {func(*fixture, *rpc.RunRequest) {}, "done"},
+		"other boot id":       {func(_ *fixture, r *rpc.RunRequest) { r.Boot = "boot-0" }, "refused boot_changed"},
+		"no ticket":           {func(_ *fixture, r *rpc.RunRequest) { r.Ticket = "" }, "refused ticket_expired"},
+		"ticket of another":   {func(_ *fixture, r *rpc.RunRequest) { r.Entry = "e2" }, "refused ticket_expired"},
+		"entry was frozen":    {func(*fixture, *rpc.RunRequest) { time.Sleep(3 * time.Second) }, "refused ticket_expired"},
+		"deadline passed":     {func(_ *fixture, r *rpc.RunRequest) { r.RemainingMs = 0 }, "refused overloaded"},
+		"too short to load":   {func(_ *fixture, r *rpc.RunRequest) { r.RemainingMs = 100 }, "refused overloaded"},
+		"no adapter":          {func(_ *fixture, r *rpc.RunRequest) { r.GetGenerate().Adapter = "" }, "refused invalid_request"},
+		"call at an engine":   {func(f *fixture, r *rpc.RunRequest) { r.Work = f.call("", "").Work }, "refused invalid_request"},
+		"stale entry":         {func(_ *fixture, r *rpc.RunRequest) { r.ConfigAgeMs = 5001 }, "refused stale_config"},
+		"entry never fresh":   {func(_ *fixture, r *rpc.RunRequest) { r.ConfigAgeMs = -1 }, "refused stale_config"},
+		"no key, keyed route": {func(_ *fixture, r *rpc.RunRequest) { r.Key, r.Route = "", "chat" }, "refused key_missing"},
+		"no key, open route":  {func(_ *fixture, r *rpc.RunRequest) { r.Key, r.Route = "", "open" }, "done"},
+		"newer version, cannot catch up": {func(_ *fixture, r *rpc.RunRequest) {
+			r.ConfigVersion = 2
+		}, "refused stale_config"},
+		"newer version revokes": {func(f *fixture, r *rpc.RunRequest) {
+			r.ConfigVersion = 2
+			f.source.next = fleet()
+			f.source.next.Version = 2
+			f.source.next.Keys["k1"] = document.Key{Account: "a1", Revoked: true}
+		}, "refused key_revoked"},
+		"resume of an unknown answer": {func(_ *fixture, r *rpc.RunRequest) { r.Resume = 1 }, "failed interrupted"},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, false, func(t *testing.T, f *fixture) {
+				request := f.generate("r1", "x")
+				test.change(f, request)
+				assert.Equal(t, f.run(request).kind(), test.kind)
+
+				if test.kind != "done" {
+					f.engine.set(func() { assert.Equal(t, len(f.engine.asked), 0) })
+				}
+			})
+		})
+	}
+}
+
+// Guards against a drain that cuts off running or queued requests, or accepts new ones.
+func TestDrain(t *testing.T) {
+	bubble(t, false, func(t *testing.T, f *fixture) {
+		f.engine.set(func() { f.engine.pace = time.Second })
+
+		var results []<-chan result
+		for i := range 6 {
+			results = append(results, f.begin(f.generate(fmt.Sprint("r", i), "x")))
+		}
+
+		time.Sleep(2 * time.Second)
+
+		client, end := f.client()
+		defer end()
+
+		f.stop()
+		time.Sleep(time.Second)
+		assert.Assert(t, f.board.Draining.Value())
+
+		stream, err := client.Run(t.Context())
+		assert.NilError(t, err)
+		assert.NilError(t, stream.Send(&rpc.RunUp{Body: &rpc.RunUp_Request{Request: f.generate("late", "x")}}))
+
+		late := read(stream, -1)
+		assert.Equal(t, late.kind(), "refused draining")
+		assert.Assert(t, late.load.Draining)
+
+		for _, r := range results {
+			assert.Equal(t, (<-r).kind(), "done")
+		}
+	})
+}
+
+// Guards the worst-served account while another one sends five times as much.
+func TestFairness(t *testing.T) {
+	bubble(t, false, func(t *testing.T, f *fixture) {
+		f.engine.set(func() { f.engine.pace = 50 * time.Millisecond })
+
+		first := []<-chan result{f.begin(f.generate("w1", "x")), f.begin(f.generate("w2", "x"))}
+		time.Sleep(300 * time.Millisecond)
+
+		for i := range 40 {
+			request := f.generate(fmt.Sprint("big", i), "x")
+			request.Account, request.Key = "a2", "k2"
+			f.begin(request)
+		}
+
+		synctest.Wait()
+
+		for i := range 8 {
+			first = append(first, f.begin(f.generate(fmt.Sprint("small", i), "x")))
+		}
+
+		for _, r := range first {
+			assert.Equal(t, (<-r).kind(), "done")
+		}
+
+		// The two accounts take turns: 2 warm-up requests, 8 of each, and up to 2 times 4 that ran before or beside them.
+		f.engine.set(func() {
+			count := len(f.engine.asked)
+			assert.Assert(t, count <= 26, "%d requests were started: %v", count, f.engine.asked)
+		})
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
@@ -38,6 +39,7 @@
 	canceled []string
 	asked    []string
 	most     int
+	sent     int
 	problems []string
 }
 
@@ -195,6 +197,7 @@
 	}
 
 	s.next++
+	s.engine.sent++
 
 	if s.change != nil {
 		changed := s.change(event)
@@ -242,6 +245,22 @@
 type fakeSource struct {
 	board *board.Board
 	next  *document.Document
+	// stale stops the confirmations.
+	stale atomic.Bool
+}
+
+// refresh confirms the document until the context ends.
+func (f *fakeSource) refresh(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.stale.Load() {
+			f.board.Fresh.Set(board.Fresh{Version: 1, Confirmed: time.Now()})
+		}
+
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
 }
 
 func (f *fakeSource) CatchUp(context.Context, int64) error {
