--- a/internal/agent/orders/orders.go
+++ b/internal/agent/orders/orders.go
@@ -44,7 +44,8 @@
 	Own func(id string) bool
 }
 
-// Orders gives orders to one engine, one at a time. The caller must not call Load concurrently.
+// Orders gives orders to one engine, one at a time. The caller must not call Load concurrently, and verifies the result
+// by the engine's later reports.
 type Orders struct {
 	Engine engine.Engine
 	Fence  *Fence
@@ -99,16 +100,6 @@
 	return nil
 }
 
-// Verify reads the engine's state and reports whether the adapter is resident there.
-func (o *Orders) Verify(ctx context.Context, adapter engine.Adapter) (bool, error) {
-	report, err := o.Engine.Report(ctx)
-	if err != nil {
-		return false, errors.Wrap(err, "read the engine's state after an order")
-	}
-
-	return slices.Contains(report.Resident, adapter), nil
-}
-
 func (o *Orders) order(ctx context.Context, action engine.Action, adapter engine.Adapter, number int64) error {
 	err := o.Engine.Order(ctx, engine.Order{ID: ident.New("order"), Action: action, Adapter: adapter, Fence: number})
 
--- /dev/null
+++ b/internal/agent/orders/orders_test.go
@@ -0,0 +1,129 @@
+package orders_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/agent/orders"
+	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
+)
+
+var (
+	wanted = engine.Adapter{Name: "a", Version: "1"}
+	victim = engine.Adapter{Name: "b", Version: "1"}
+)
+
+// fakeEngine records orders; the methods that no order needs are absent.
+type fakeEngine struct {
+	engine.Engine
+	report engine.Report
+	orders []engine.Order
+	err    error
+}
+
+func (f *fakeEngine) Report(context.Context) (engine.Report, error) { return f.report, nil }
+
+func (f *fakeEngine) Order(_ context.Context, order engine.Order) error {
+	f.orders = append(f.orders, order)
+	return f.err
+}
+
+// lossy is a table whose commits take effect while their first response is lost.
+type lossy struct {
+	table.Memory
+	once sync.Once
+}
+
+func (l *lossy) Commit(ctx context.Context, txn table.Txn) (int64, error) {
+	revision, err := l.Memory.Commit(ctx, txn)
+	l.once.Do(func() { err = fault.New(fault.TableUnavailable, "response lost") })
+
+	return revision, err
+}
+
+// Guards against two agent processes with one fencing number, also when the response of a commit is lost.
+func TestFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &lossy{}
+		seen := map[int64]bool{}
+
+		for range 3 {
+			fence := &orders.Fence{Table: rows, Server: "s1"}
+			go fence.Run(t.Context())
+
+			number, err := fence.Number(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, !seen[number], "number %d is held twice", number)
+			seen[number] = true
+		}
+	})
+}
+
+// Guards against a process that goes on with a number that the engine refused.
+func TestFenceLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fence := &orders.Fence{Table: &table.Memory{}, Server: "s1"}
+		go fence.Run(t.Context())
+
+		first, err := fence.Number(t.Context())
+		assert.NilError(t, err)
+
+		o := &orders.Orders{Engine: &fakeEngine{err: fault.New(fault.Conflict, "old number")}, Fence: fence}
+		err = o.Load(t.Context(), orders.Load{Adapter: wanted, Victim: &victim, Fenced: true}, func() {
+			t.Error("a refused order unloads nothing")
+		})
+		assert.Assert(t, fault.Is(err, fault.Conflict), "%v", err)
+		assert.Assert(t, !fence.Held())
+
+		time.Sleep(time.Minute)
+
+		second, err := fence.Number(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, second > first)
+	})
+}
+
+// Guards an engine that does not check fencing numbers against outdated orders.
+func TestUnfenced(t *testing.T) {
+	running := func(id string) []engine.Running { return []engine.Running{{ID: id, Adapter: victim}} }
+	tests := map[string]struct {
+		report engine.Report
+		fenced bool
+		err    error
+		orders int
+	}{
+		"as expected":                     {engine.Report{Boot: "b1"}, false, nil, 2},
+		"engine restarted":                {engine.Report{Boot: "b2"}, false, orders.ErrRestarted, 0},
+		"victim used by another process":  {engine.Report{Boot: "b1", Running: running("other")}, false, orders.ErrInUse, 0},
+		"late report of an own request":   {engine.Report{Boot: "b1", Running: running("own")}, false, nil, 2},
+		"the engine checks the number":    {engine.Report{Boot: "b2"}, true, nil, 2},
+		"another adapter is used by them": {engine.Report{Boot: "b1", Running: []engine.Running{{ID: "x", Adapter: wanted}}}, false, nil, 2},
+	}
+
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &fakeEngine{report: test.report}
+				fence := &orders.Fence{Table: &table.Memory{}, Server: "s1"}
+				go fence.Run(t.Context())
+
+				unloaded := 0
+				o := &orders.Orders{Engine: fake, Fence: fence}
+				load := orders.Load{Adapter: wanted, Victim: &victim, Boot: "b1", Fenced: test.fenced, Own: func(id string) bool { return id == "own" }}
+				err := o.Load(t.Context(), load, func() { unloaded++ })
+
+				assert.Assert(t, errors.Is(err, test.err), "%v", err)
+				assert.Equal(t, len(fake.orders), test.orders)
+				assert.Equal(t, unloaded, test.orders/2)
+			})
+		})
+	}
+}
--- a/internal/agent/server/call_test.go
+++ b/internal/agent/server/call_test.go
@@ -24,7 +24,9 @@
 
 // Guards the normal path of a plain service, and a repeated send against a second run.
 func TestCall(t *testing.T) {
-	bubble(t, true, func(t *testing.T, f *fixture) {
+	bubble(t, true, func(f *fixture) {
+		t := f.t
+
 		for range 2 {
 			r := f.run(f.call("r1", "t1"))
 
@@ -54,7 +56,9 @@
 
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, true, func(t *testing.T, f *fixture) {
+			bubble(t, true, func(f *fixture) {
+				t := f.t
+
 				f.service.err = test.err
 				assert.Equal(t, f.run(f.call("r1", test.attempt)).kind(), test.kind)
 				assert.Equal(t, f.query(test.attempt, false).State, test.state)
@@ -65,7 +69,9 @@
 
 // Guards a started order against the loss of its entry: it runs to its end and its outcome can be asked for.
 func TestCallOutlivesEntry(t *testing.T) {
-	bubble(t, true, func(t *testing.T, f *fixture) {
+	bubble(t, true, func(f *fixture) {
+		t := f.t
+
 		f.service.took = 10 * time.Second
 
 		client, cut := f.client()
@@ -89,7 +95,9 @@
 	rapid.Check(t, func(r *rapid.T) {
 		plan := rapid.SliceOfN(rapid.IntRange(0, 99), 10, 30).Draw(r, "plan")
 
-		bubble(t, true, func(t *testing.T, f *fixture) {
+		bubble(t, true, func(f *fixture) {
+			t := f.t
+
 			f.service.took = 300 * time.Millisecond
 			refused := map[string]bool{}
 			var sent []<-chan result
@@ -128,7 +136,9 @@
 
 // Guards a frozen or replaced process: another boot id says nothing about its attempts.
 func TestQueryOtherBoot(t *testing.T) {
-	bubble(t, true, func(t *testing.T, f *fixture) {
+	bubble(t, true, func(f *fixture) {
+		t := f.t
+
 		f.hello.Boot = "boot-0"
 		assert.Equal(t, f.query("t1", true).State, rpc.AttemptState_ATTEMPT_UNSPECIFIED)
 	})
--- a/internal/agent/server/check.go
+++ b/internal/agent/server/check.go
@@ -11,6 +11,8 @@
 const (
 	// freshness is how long after its last confirmation a document may be used for keyed work.
 	freshness = 5 * time.Second
+	// renewal is by how much a confirmation must be newer to be passed on, so that not every request wakes the watchers.
+	renewal = 500 * time.Millisecond
 	// catchUpTimeout bounds the wait for a document version that an entry has and this process lacks.
 	catchUpTimeout = time.Second
 )
@@ -21,7 +23,7 @@
 	at      time.Time
 	// deadline is on this process's clock.
 	deadline time.Time
-	// confirmed is when the entry confirmed its document, on this process's clock.
+	// confirmed is when the entry confirmed its document, on this process's clock and at the earliest.
 	confirmed time.Time
 }
 
@@ -58,10 +60,13 @@
 
 	// A request that waited in the queue may outlive its ticket: the ticket bounds how long an entry may have been frozen
 	// before it sent the request.
-	if !s.tickets.check(now, a.request.Entry, a.request.Ticket) {
+	transit, ok := s.tickets.check(now, a.request.Entry, a.request.Ticket)
+	if !ok {
 		return fault.New(fault.TicketExpired, "the ticket has expired")
 	}
 
+	a.confirmed = a.confirmed.Add(-transit)
+
 	return s.catchUp(ctx, a)
 }
 
@@ -156,13 +161,20 @@
 		}
 	}
 
-	if a.request.Key != "" {
-		s.Source.Confirm(a.request.ConfigVersion, a.confirmed)
-	}
+	s.confirm(a)
 
 	return nil
 }
 
+// confirm passes the entry's confirmation on, unless that would renew the own one by little.
+func (s *Server) confirm(a *arrival) {
+	if a.request.Key == "" || a.confirmed.Sub(s.Board.Fresh.Value().Confirmed) < renewal {
+		return
+	}
+
+	s.Source.Confirm(a.request.ConfigVersion, time.Since(a.confirmed))
+}
+
 func (s *Server) version() int64 {
 	if doc := s.Board.Document.Value(); doc != nil {
 		return doc.Version
--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -57,7 +57,9 @@
 func TestWithdrawnWhileQueued(t *testing.T) {
 	for name, test := range withdrawals {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, false, func(t *testing.T, f *fixture) {
+			bubble(t, false, func(f *fixture) {
+				t := f.t
+
 				f.engine.set(func() { f.engine.pace = 2 * time.Second })
 
 				running := []<-chan result{f.begin(f.generate("r1", "x")), f.begin(f.generate("r2", "x"))}
@@ -82,7 +84,9 @@
 func TestRefusedOnArrival(t *testing.T) {
 	for name, test := range withdrawals {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, false, func(t *testing.T, f *fixture) {
+			bubble(t, false, func(f *fixture) {
+				t := f.t
+
 				test.withdraw(f)
 				f.greet()
 
@@ -131,7 +135,9 @@
 
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, false, func(t *testing.T, f *fixture) {
+			bubble(t, false, func(f *fixture) {
+				t := f.t
+
 				request := f.generate("r1", "x")
 				test.change(f, request)
 				assert.Equal(t, f.run(request).kind(), test.kind)
@@ -146,10 +152,12 @@
 
 // Guards against a drain that cuts off running or queued requests, or accepts new ones.
 func TestDrain(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		f.engine.set(func() { f.engine.pace = time.Second })
 
-		var results []<-chan result
+		results := make([]<-chan result, 0, 6)
 		for i := range 6 {
 			results = append(results, f.begin(f.generate(fmt.Sprint("r", i), "x")))
 		}
@@ -179,10 +187,13 @@
 
 // Guards the worst-served account while another one sends five times as much.
 func TestFairness(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		f.engine.set(func() { f.engine.pace = 50 * time.Millisecond })
 
-		first := []<-chan result{f.begin(f.generate("w1", "x")), f.begin(f.generate("w2", "x"))}
+		first := make([]<-chan result, 0, 10)
+		first = append(first, f.begin(f.generate("w1", "x")), f.begin(f.generate("w2", "x")))
 		time.Sleep(300 * time.Millisecond)
 
 		for i := range 40 {
--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 )
 
@@ -24,6 +25,7 @@
 	slots    int
 	cold     bool
 	fencing  bool
+	fence    int64
 	down     bool
 	loadErr  error
 	loadTime time.Duration
@@ -89,6 +91,10 @@
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, order)
 
+	if f.fencing && order.Fence < f.fence {
+		return fault.New(fault.Conflict, "old fencing number")
+	}
+
 	if order.Action == engine.ActionUnload {
 		for id, request := range f.running {
 			if request.Adapter == order.Adapter {
@@ -222,12 +228,16 @@
 	err   error
 }
 
-func (f *fakeService) Call(_ context.Context, request service.Request) (service.Response, error) {
+func (f *fakeService) Call(ctx context.Context, request service.Request) (service.Response, error) {
 	f.mu.Lock()
 	took, err := f.took, f.err
 	f.mu.Unlock()
 
-	time.Sleep(took)
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		return service.Response{}, ctx.Err()
+	}
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -273,7 +283,21 @@
 	return nil
 }
 
-func (f *fakeSource) Confirm(int64, time.Time) {}
+func (f *fakeSource) Confirm(int64, time.Duration) {}
+
+// fakeTable is a table that may be down.
+type fakeTable struct {
+	table.Memory
+	down atomic.Bool
+}
+
+func (f *fakeTable) Get(ctx context.Context, key string) (table.Row, error) {
+	if f.down.Load() {
+		return table.Row{}, fault.New(fault.TableUnavailable, "down")
+	}
+
+	return f.Memory.Get(ctx, key)
+}
 
 type fakeBudget struct{}
 
--- a/internal/agent/server/fixture_test.go
+++ b/internal/agent/server/fixture_test.go
@@ -15,7 +15,6 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/agent/server"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
-	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
@@ -28,6 +27,7 @@
 	service  *fakeService
 	board    *board.Board
 	source   *fakeSource
+	table    *fakeTable
 	listener *pipeListener
 	stop     context.CancelFunc
 	ended    chan error
@@ -45,17 +45,28 @@
 }
 
 // bubble runs a test with an agent in a synctest bubble; the agent is stopped at the end.
-func bubble(t *testing.T, plain bool, test func(t *testing.T, f *fixture)) {
+func bubble(t *testing.T, plain bool, test func(f *fixture)) {
+	t.Helper()
+	agent(t, plain, func(*fixture) {}, test)
+}
+
+// prepared runs a test like bubble, with an engine that is prepared before the agent starts.
+func prepared(t *testing.T, prepare, test func(f *fixture)) {
+	t.Helper()
+	agent(t, false, prepare, test)
+}
+
+func agent(t *testing.T, plain bool, prepare, test func(f *fixture)) {
 	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{t: t, board: &board.Board{}, listener: newListener(), ended: make(chan error, 1)}
+		f := &fixture{t: t, board: &board.Board{}, listener: newListener(), ended: make(chan error, 1), table: &fakeTable{}}
 		f.source = &fakeSource{board: f.board}
 		f.board.Document.Set(fleet())
 
 		s := &server.Server{
 			Settings: settings.Agent{Server: "s1", Name: "press", Place: settings.Place{VM: "v1", Domain: "d1"}, Drain: time.Minute},
-			Table:    &table.Memory{},
+			Table:    f.table,
 			Listener: f.listener,
 			Board:    f.board,
 			Source:   f.source,
@@ -73,6 +84,8 @@
 			s.Engine = f.engine
 		}
 
+		prepare(f)
+
 		var ctx context.Context
 
 		ctx, f.stop = context.WithCancel(t.Context())
@@ -87,7 +100,7 @@
 
 		synctest.Wait()
 		f.greet()
-		test(t, f)
+		test(f)
 	})
 }
 
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -357,6 +357,23 @@
 	}
 }
 
+// stall ends the load in progress and refuses every job that waits for one, because no load can be ordered for a while.
+func (g *gate) stall(now time.Time, reason error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.slots.Abandon()
+
+	for item, j := range g.jobs {
+		if item.Blocked {
+			g.queue.Remove(item)
+			g.refuse(j, fault.Wrap(reason, fault.AdapterUnavailable, "adapters cannot be loaded without a fencing number"))
+		}
+	}
+
+	g.dispatch(now)
+}
+
 // busy returns the number of waiting and running jobs.
 func (g *gate) busy() int {
 	g.mu.Lock()
--- a/internal/agent/server/generate_test.go
+++ b/internal/agent/server/generate_test.go
@@ -17,7 +17,9 @@
 
 // Guards the normal path: load on demand, whole answer, residency on the answer.
 func TestGenerate(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		r := f.run(f.generate("r1", "x"))
 
 		assert.Equal(t, r.kind(), "done")
@@ -46,7 +48,7 @@
 		kind   string
 	}{
 		"event of another request": {at(2, func(e engine.Event) *engine.Event {
-			e.ID = "other"
+			e.ID, e.Text = "other", "other "
 			return &e
 		}), "done"},
 		"event of another adapter": {at(2, func(e engine.Event) *engine.Event {
@@ -63,6 +65,10 @@
 		}), "done"},
 		"stream cut":            {at(3, func(engine.Event) *engine.Event { return nil }), "done"},
 		"cut before end marker": {at(5, func(engine.Event) *engine.Event { return nil }), "done"},
+		"end marker too low": {at(3, func(e engine.Event) *engine.Event {
+			e.Seq, e.End = 2, true
+			return &e
+		}), "done"},
 		"end marker too early": {at(3, func(e engine.Event) *engine.Event {
 			e.Seq, e.End = 5, true
 			return &e
@@ -71,7 +77,9 @@
 
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, false, func(t *testing.T, f *fixture) {
+			bubble(t, false, func(f *fixture) {
+				t := f.t
+
 				f.engine.set(func() { f.engine.change = test.change })
 
 				r := f.run(f.generate("r1", "x"))
@@ -91,10 +99,13 @@
 
 // Guards against waiting requests that keep waiting for an adapter of an engine that restarted empty.
 func TestEngineRestart(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		f.engine.set(func() { f.engine.events = 100 })
 
-		var running, queued []<-chan result
+		running := make([]<-chan result, 0, 2)
+		queued := make([]<-chan result, 0, 3)
 
 		for i := range 2 {
 			running = append(running, f.begin(f.generate(fmt.Sprint("r", i), "x")))
@@ -133,10 +144,12 @@
 
 	for name, turn := range turns {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, false, func(t *testing.T, f *fixture) {
+			bubble(t, false, func(f *fixture) {
+				t := f.t
+
 				// The ramp grows to its ceiling of 4 with these requests.
 				for range 3 {
-					var results []<-chan result
+					results := make([]<-chan result, 0, 8)
 					for i := range 8 {
 						results = append(results, f.begin(f.generate(fmt.Sprint("w", i, time.Now()), "x")))
 					}
@@ -160,7 +173,7 @@
 				f.engine.set(func() { f.engine.most = 0 })
 				f.greet()
 
-				var results []<-chan result
+				results := make([]<-chan result, 0, 8)
 				for i := range 8 {
 					results = append(results, f.begin(f.generate(fmt.Sprint("c", i), "x")))
 				}
@@ -178,8 +191,10 @@
 
 // Guards against adapters that are evicted under running or waiting requests, and against more loads than needed.
 func TestEvictionUnderLoad(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
-		var results []<-chan result
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
+		results := make([]<-chan result, 0, 40)
 
 		for i := range 40 {
 			request := f.generate(fmt.Sprint("r", i), fmt.Sprint("adapter", i*7%5))
@@ -199,7 +214,9 @@
 
 // Guards against a failed load that blocks other requests, and against a wrong "not run".
 func TestLoadFails(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		f.engine.set(func() { f.engine.loadErr = fault.New(fault.AdapterUnavailable, "weights are broken") })
 		assert.Equal(t, f.run(f.generate("r1", "x")).kind(), "refused adapter_unavailable")
 
@@ -232,7 +249,9 @@
 
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			bubble(t, false, func(t *testing.T, f *fixture) {
+			bubble(t, false, func(f *fixture) {
+				t := f.t
+
 				f.engine.set(func() {
 					f.engine.events = 10
 					f.engine.pace = 400 * time.Millisecond
@@ -275,7 +294,9 @@
 
 // Guards an answer against readers with another key or for another process.
 func TestResumeByOthers(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		f.engine.set(func() { f.engine.pace = 100 * time.Millisecond })
 		running := f.begin(f.generate("r1", "x"))
 
@@ -294,7 +315,9 @@
 
 // Guards the agent's memory against an entry that does not read.
 func TestSlowEntry(t *testing.T) {
-	bubble(t, false, func(t *testing.T, f *fixture) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
 		f.engine.set(func() {
 			f.engine.events = 5000
 			f.engine.pace = time.Millisecond
--- a/internal/agent/server/loader.go
+++ b/internal/agent/server/loader.go
@@ -69,7 +69,10 @@
 	case errors.Is(err, orders.ErrInUse):
 		s.gate.abandon(time.Now(), plan.Victim)
 		return retryPause
-	case errors.Is(err, orders.ErrRestarted), errors.Is(err, orders.ErrNotStarted), fault.Is(err, fault.Conflict):
+	case fault.Is(err, fault.Conflict):
+		s.gate.stall(time.Now(), err)
+		return retryPause
+	case errors.Is(err, orders.ErrRestarted), errors.Is(err, orders.ErrNotStarted):
 		s.gate.abandon(time.Now(), nil)
 		return retryPause
 	}
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -56,8 +56,8 @@
 type Source interface {
 	// CatchUp returns when the board holds the version or a higher one, or with an error.
 	CatchUp(ctx context.Context, version int64) error
-	// Confirm tells that an entry confirmed the version at the time.
-	Confirm(version int64, at time.Time)
+	// Confirm tells that an entry confirmed the version at least as lately as the age says.
+	Confirm(version int64, age time.Duration)
 }
 
 // Server is an agent process. Its exported fields are set before Run.
@@ -94,6 +94,7 @@
 	// polled is when the last read of the engine's state began.
 	polled    time.Time
 	readiness probe.Readiness
+	held      atomic.Pointer[heldLimits]
 	// work is the context of work at the backend server; it outlives the streams of the entries.
 	work context.Context
 	// group counts the work at the backend server.
@@ -280,19 +281,39 @@
 	return load
 }
 
-// policy returns the defaults that apply to a request.
-func (s *Server) policy(_ *rpc.RunRequest) document.Default {
+// policy returns the defaults with the exceptions for this backend server, and for the request unless it is nil.
+func (s *Server) policy(request *rpc.RunRequest) document.Default {
 	doc := s.Board.Document.Value()
 	if doc == nil {
 		return document.Default{}
 	}
 
-	return doc.Default
+	return doc.Resolve(document.Query{
+		Domain:  s.Settings.Place.Domain,
+		Server:  s.Settings.Server,
+		Route:   request.GetRoute(),
+		Account: request.GetAccount(),
+		Adapter: request.GetGenerate().GetAdapter(),
+	})
 }
 
-// limits returns the settings of the gate.
+// limits returns the settings of the gate; they are resolved once for each document.
 func (s *Server) limits() limits {
+	doc := s.Board.Document.Value()
+
+	if held := s.held.Load(); held != nil && held.doc == doc {
+		return held.limits
+	}
+
 	value := s.policy(nil)
+	found := limits{queue: value.Queue, ramp: value.Ramp, ceiling: value.Limit}
+	s.held.Store(&heldLimits{doc: doc, limits: found})
+
+	return found
+}
 
-	return limits{queue: value.Queue, ramp: value.Ramp, ceiling: value.Limit}
+// heldLimits are the limits that a document gives.
+type heldLimits struct {
+	doc    *document.Document
+	limits limits
 }
--- a/internal/agent/server/ticket.go
+++ b/internal/agent/server/ticket.go
@@ -48,14 +48,18 @@
 	return &rpc.Ticket{Id: held.id, RemainingMs: held.expires.Sub(now).Milliseconds()}
 }
 
-// check reports whether the entry holds the ticket and it has not expired.
-func (t *tickets) check(now time.Time, entry, id string) bool {
+// check reports whether the entry holds the ticket and it has not expired, and returns the ticket's age. A request cannot
+// have been on its way for longer than that.
+func (t *tickets) check(now time.Time, entry, id string) (age time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	held, ok := t.valid[id]
+	if !ok || held.entry != entry || !now.Before(held.expires) {
+		return 0, false
+	}
 
-	return ok && held.entry == entry && now.Before(held.expires)
+	return ticketLife - held.expires.Sub(now), true
 }
 
 func (t *tickets) prune(now time.Time) {
