Bound kept output and outcomes by size and report the whole output

An answer is held back by the size of its unread text as well as by the number of events, and the oldest outcomes of attempts become unknown beyond 64 MiB. Failed carries the tokens of the whole answer, also on a resumed stream.

--- a/internal/agent/orders/orders_test.go
+++ b/internal/agent/orders/orders_test.go
@@ -36,10 +36,23 @@
 	return f.err
 }
 
-// lossy is a table whose commits take effect while their first response is lost.
+// lossy is a table whose first commit takes effect while its response is lost, and whose second reader is overtaken by
+// another process that takes number 2.
 type lossy struct {
 	table.Memory
 	once sync.Once
+	gets int
+}
+
+func (l *lossy) Get(ctx context.Context, key string) (table.Row, error) {
+	row, err := l.Memory.Get(ctx, key)
+
+	l.gets++
+	if l.gets == 2 {
+		_, err = l.Memory.Commit(ctx, table.Txn{Puts: []table.Put{{Key: key, Value: []byte(`{"fence":2}`)}}})
+	}
+
+	return row, err
 }
 
 func (l *lossy) Commit(ctx context.Context, txn table.Txn) (int64, error) {
@@ -53,7 +66,7 @@
 func TestFence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rows := &lossy{}
-		seen := map[int64]bool{}
+		seen := map[int64]bool{2: true}
 
 		for range 3 {
 			fence := &orders.Fence{Table: rows, Server: "s1"}
--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -18,6 +18,8 @@
 	attemptRetention = 10 * time.Minute
 	// attemptCapacity bounds the record; at 10 orders a second the retention needs 6,000.
 	attemptCapacity = 20000
+	// attemptBytes bounds the bodies of the recorded outcomes, within the 256 MB that a process may use.
+	attemptBytes = 64 << 20
 )
 
 // attempts is the record of non-idempotent calls under a lock.
@@ -26,6 +28,16 @@
 	book attempt.Book[*rpc.Done]
 }
 
+func newBook() attempt.Book[*rpc.Done] {
+	return attempt.Book[*rpc.Done]{
+		Retention: attemptRetention,
+		Ticket:    ticketLife,
+		Capacity:  attemptCapacity,
+		Size:      func(done *rpc.Done) int64 { return int64(len(done.Body)) },
+		Budget:    attemptBytes,
+	}
+}
+
 func (a *attempts) begin(now time.Time, id string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// Guards against a confirmation that counts as newer than it is, because the request was long on its way.
+func TestConfirmationInTransit(t *testing.T) {
+	for age, kind := range map[int64]string{2000: "done", 4000: "refused stale_config"} {
+		t.Run(kind, func(t *testing.T) {
+			bubble(t, false, func(f *fixture) {
+				f.source.stale.Store(true)
+				time.Sleep(7 * time.Second)
+				f.greet()
+				time.Sleep(2 * time.Second)
+
+				request := f.generate("r1", "x")
+				request.ConfigAgeMs = age
+				assert.Equal(f.t, f.run(request).kind(), kind)
+			})
+		})
+	}
+}
+
 // Guards against a drain that cuts off running or queued requests, or accepts new ones.
 func TestDrain(t *testing.T) {
 	bubble(t, false, func(f *fixture) {
--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -20,10 +20,12 @@
 
 // fakeEngine is an engine in memory. Its fields are changed under mu.
 type fakeEngine struct {
-	mu       sync.Mutex
-	boot     string
-	slots    int
-	cold     bool
+	mu    sync.Mutex
+	boot  string
+	slots int
+	cold  bool
+	// lossy loses the response to Generate after the request was accepted.
+	lossy    bool
 	fencing  bool
 	fence    int64
 	down     bool
@@ -131,6 +133,11 @@
 	}
 
 	f.asked = append(f.asked, request.ID)
+
+	if f.lossy {
+		return nil, fault.New(fault.BackendFailed, "response lost")
+	}
+
 	f.running[request.ID] = request
 	f.most = max(f.most, len(f.running))
 
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -224,23 +224,19 @@
 		}
 	}
 
-	var output int64
-
 	for {
 		events, outcome, err := from.answer.Read(ctx, reader)
 
 		switch {
 		case errors.Is(err, worker.ErrReplaced):
-			return out.fail(fault.Wrap(err, fault.Interrupted, "resumed by another stream"), output)
+			return out.fail(fault.Wrap(err, fault.Interrupted, "resumed by another stream"), from.answer.Output())
 		case err != nil:
 			return err
 		case outcome != nil:
-			return out.finish(outcome, output)
+			return out.finish(outcome, from.answer.Output())
 		}
 
 		for _, event := range events {
-			output += event.Tokens
-
 			if err := out.chunk(event); err != nil {
 				return err
 			}
--- a/internal/agent/server/order_test.go
+++ b/internal/agent/server/order_test.go
@@ -56,6 +56,7 @@
 	used := engine.Adapter{Name: "used", Version: "1"}
 	prepare := func(f *fixture) {
 		f.engine.slots = 1
+		f.engine.fencing = true
 		f.engine.resident = []engine.Adapter{used}
 		f.engine.running["old"] = engine.Request{ID: "old", Adapter: used}
 	}
--- a/internal/agent/server/random_test.go
+++ b/internal/agent/server/random_test.go
@@ -22,6 +22,7 @@
 	},
 	func(f *fixture, draw int) { f.engine.set(func() { f.engine.cold = draw%2 == 0 }) },
 	func(f *fixture, draw int) { f.engine.set(func() { f.engine.down = draw%4 == 0 }) },
+	func(f *fixture, draw int) { f.engine.set(func() { f.engine.lossy = draw%3 == 0 }) },
 	func(f *fixture, draw int) { f.table.down.Store(draw%2 == 0) },
 	func(f *fixture, draw int) {
 		f.engine.set(func() {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -23,7 +23,6 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/probe"
-	"github.com/chestnutbeam/chestnutbeam/internal/order/attempt"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
@@ -165,7 +164,7 @@
 	s.tickets.valid = map[string]ticket{}
 	s.tickets.current = map[string]ticket{}
 	s.runs.byID = map[string]*run{}
-	s.attempts.book = attempt.Book[*rpc.Done]{Retention: attemptRetention, Ticket: ticketLife, Capacity: attemptCapacity}
+	s.attempts.book = newBook()
 	s.fence = &orders.Fence{Table: s.Table, Server: s.Settings.Server}
 	s.orders = &orders.Orders{Engine: s.Engine, Fence: s.fence}
 
--- a/internal/agent/worker/answer.go
+++ b/internal/agent/worker/answer.go
@@ -14,8 +14,12 @@
 const (
 	// window is the highest number of events that the reader has not taken yet; beyond it the engine's stream is not read.
 	window = 256
+	// windowBytes is the size of the text not taken yet above which the engine's stream is not read.
+	windowBytes = 256 << 10
 	// history is the number of events that are kept after the reader took them, for a reader that lost them in transit.
 	history = 256
+	// historyBytes is the size of the text that is kept after the reader took it, if it is more than one event.
+	historyBytes = 256 << 10
 )
 
 // ErrReplaced ends the read of a reader when another one has resumed the answer.
@@ -42,6 +46,11 @@
 	base   int64
 	// taken is the number of events that the reader has taken.
 	taken int64
+	// kept and unread are the sizes of the text of the kept events and of those not taken yet, in bytes.
+	kept   int
+	unread int
+	// output is the number of tokens of the whole answer so far.
+	output int64
 	// reader identifies the newest reader.
 	reader  int64
 	started bool
@@ -60,6 +69,7 @@
 
 	a.reader++
 	a.taken = from
+	a.unread = size(a.events[from-a.base:])
 	a.wake()
 
 	return a.reader, nil
@@ -114,12 +124,15 @@
 // write adds the next event; it waits while the reader is a whole window behind.
 func (a *Answer) write(ctx context.Context, event engine.Event) error {
 	return a.wait(ctx, func() (bool, error) {
-		if a.next()-a.taken >= window {
+		if a.next()-a.taken >= window || a.unread >= windowBytes {
 			return false, nil
 		}
 
 		invariant.Check(event.Seq == a.next(), "answer.seq", "event %d follows %d events", event.Seq, a.next())
 		a.events = append(a.events, event)
+		a.kept += len(event.Text)
+		a.unread += len(event.Text)
+		a.output += event.Tokens
 		a.wake()
 
 		return true, nil
@@ -137,16 +150,41 @@
 // take marks every event as taken and forgets those beyond the history.
 func (a *Answer) take() {
 	a.taken = a.next()
+	a.unread = 0
 
-	if old := a.taken - history - a.base; old > 0 {
+	old := 0
+
+	for len(a.events)-old > history || a.kept > historyBytes && len(a.events)-old > 1 {
+		a.kept -= len(a.events[old].Text)
+		old++
+	}
+
+	if old > 0 {
 		a.events = append([]engine.Event(nil), a.events[old:]...)
-		a.base += old
+		a.base += int64(old)
 	}
 
-	invariant.Check(len(a.events) <= window+history, "answer.kept", "%d events are kept", len(a.events))
+	invariant.Check(len(a.events) <= history, "answer.kept", "%d events are kept", len(a.events))
 	a.wake()
 }
 
+// Output returns the number of tokens of the answer so far, whichever readers took them.
+func (a *Answer) Output() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.output
+}
+
+func size(events []engine.Event) int {
+	total := 0
+	for _, event := range events {
+		total += len(event.Text)
+	}
+
+	return total
+}
+
 func (a *Answer) next() int64 {
 	return a.base + int64(len(a.events))
 }
--- a/internal/order/attempt/attempt.go
+++ b/internal/order/attempt/attempt.go
@@ -26,6 +26,8 @@
 	State State
 	// Outcome is set when State is Done.
 	Outcome T
+	// size is that of Outcome, in bytes.
+	size int64
 	// ended is when the state became final.
 	ended time.Time
 }
@@ -38,8 +40,14 @@
 	Ticket time.Duration
 	// Capacity bounds the number of records; new attempts are refused beyond it, and none is forgotten early.
 	Capacity int
+	// Size returns the size of an outcome in bytes, and Budget bounds their sum; beyond it the oldest outcomes are dropped
+	// and their attempts become Unknown. A nil Size means no bound.
+	Size   func(outcome T) int64
+	Budget int64
 
 	records map[string]*Record[T]
+	// held is the sum of the sizes of outcomes; at most Budget.
+	held int64
 	// final lists the ids of final records in the order of their end.
 	final []string
 }
@@ -101,7 +109,41 @@
 	}
 
 	record.Outcome = outcome
+	record.size = b.size(outcome)
+	b.held += record.size
 	b.end(now, id, record, Done)
+	b.shrink()
+}
+
+// shrink drops the oldest outcomes until the rest is within the budget.
+func (b *Book[T]) shrink() {
+	for _, id := range b.final {
+		if b.Size == nil || b.held <= b.Budget {
+			return
+		}
+
+		if record := b.records[id]; record.State == Done {
+			record.State = Unknown
+			b.drop(record)
+		}
+	}
+}
+
+// drop gives up the outcome of a record.
+func (b *Book[T]) drop(record *Record[T]) {
+	var none T
+
+	b.held -= record.size
+	record.size = 0
+	record.Outcome = none
+}
+
+func (b *Book[T]) size(outcome T) int64 {
+	if b.Size == nil {
+		return 0
+	}
+
+	return b.Size(outcome)
 }
 
 // Revert ends a running attempt of which the backend server surely was given nothing.
@@ -153,6 +195,7 @@
 			return
 		}
 
+		b.drop(b.records[id])
 		delete(b.records, id)
 		b.final = b.final[1:]
 	}
--- a/internal/order/attempt/attempt_test.go
+++ b/internal/order/attempt/attempt_test.go
@@ -39,6 +39,24 @@
 	assert.NilError(t, b.Begin(now.Add(4*time.Second), "b"))
 }
 
+// Guards the agent's memory against large outcomes, without making an attempt look as if it had not run.
+func TestBudget(t *testing.T) {
+	b := book()
+	b.Size = func(outcome string) int64 { return int64(len(outcome)) }
+	b.Budget = 10
+
+	for _, id := range []string{"a", "b", "c"} {
+		assert.NilError(t, b.Begin(now, id))
+		assert.Assert(t, b.Start(id))
+		b.Finish(now, id, "12345", true)
+	}
+
+	assert.Equal(t, b.Query(now, "a", true).State, attempt.Unknown)
+	assert.Equal(t, b.Query(now, "a", true).Outcome, "")
+	assert.Equal(t, b.Query(now, "b", true).Outcome, "12345")
+	assert.Equal(t, b.Query(now, "c", true).Outcome, "12345")
+}
+
 // Guards against a second run of an attempt under duplicate sends, queries and refusals in any order.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
