Hold the limit down until a restarted engine's report can be trusted

The engine's cold flag lags behind by up to a second, so the limit could grow by completions of a cold engine that had not said so yet, and a report of an earlier run could bring back adapters that were gone.

--- a/internal/admit/ramp/ramp.go
+++ b/internal/admit/ramp/ramp.go
@@ -35,7 +35,7 @@
 	boot  string
 	// epoch grows with each cold start; completions of requests that started before it don't count.
 	epoch int64
-	// cold is the engine's own last report.
+	// cold is the engine's own last report; an engine that has just started counts as cold until its report can be trusted.
 	cold  bool
 	since time.Time
 	speed [phases]jump
@@ -66,7 +66,8 @@
 	return r.epoch
 }
 
-// Report takes the engine's boot id and cold flag, and reports whether a cold start begins.
+// Report takes the engine's boot id and cold flag, and reports whether a cold start begins. The limit does not grow while
+// the engine counts as cold.
 func (r *Ramp) Report(now time.Time, boot string, cold bool) bool {
 	restarted := boot != r.boot
 	turned := cold && !r.cold
@@ -85,6 +86,7 @@
 	}
 
 	r.restart(now)
+	r.cold = true
 
 	return true
 }
--- a/internal/admit/ramp/ramp_test.go
+++ b/internal/admit/ramp/ramp_test.go
@@ -17,6 +17,7 @@
 	r := &ramp.Ramp{}
 	r.Configure(2, 16)
 	r.Report(now, "b1", false)
+	r.Report(now.Add(time.Second), "b1", false)
 
 	for range 40 {
 		r.Observe(now, r.Epoch(), ramp.Next, 10*time.Millisecond, 1)
@@ -34,7 +35,22 @@
 	}{
 		"still warm":  {func(r *ramp.Ramp) { r.Report(now, "b1", false) }, 16},
 		"new boot id": {func(r *ramp.Ramp) { r.Report(now, "b2", false) }, 2},
-		"cold flag":   {func(r *ramp.Ramp) { r.Report(now, "b1", true) }, 2},
+		"new boot id, late cold flag": {func(r *ramp.Ramp) {
+			r.Report(now, "b2", false)
+
+			for range 20 {
+				r.Complete(r.Epoch())
+			}
+		}, 2},
+		"cold flag over": {func(r *ramp.Ramp) {
+			r.Report(now, "b1", true)
+			r.Report(now.Add(time.Second), "b1", false)
+
+			for range 8 {
+				r.Complete(r.Epoch())
+			}
+		}, 6},
+		"cold flag": {func(r *ramp.Ramp) { r.Report(now, "b1", true) }, 2},
 		"cold without notice": {func(r *ramp.Ramp) {
 			for range 5 {
 				r.Observe(now, r.Epoch(), ramp.Next, 100*time.Millisecond, 1)
--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -23,7 +23,9 @@
 	mu    sync.Mutex
 	boot  string
 	slots int
-	cold  bool
+	// reported is an outdated report that is still given; may be nil.
+	reported *engine.Report
+	cold     bool
 	// lossy loses the response to Generate after the request was accepted.
 	lossy    bool
 	fencing  bool
@@ -73,6 +75,10 @@
 	defer f.mu.Unlock()
 
 	report := engine.Report{Boot: f.boot, Resident: slices.Clone(f.resident), Cold: f.cold}
+	if f.reported != nil {
+		report = *f.reported
+	}
+
 	for id, request := range f.running {
 		report.Running = append(report.Running, engine.Running{ID: id, Adapter: request.Adapter})
 	}
@@ -83,6 +89,7 @@
 func (f *fakeEngine) Order(_ context.Context, order engine.Order) error {
 	f.mu.Lock()
 	pause := f.loadTime
+	boot := f.boot
 	f.mu.Unlock()
 
 	if order.Action == engine.ActionLoad {
@@ -93,6 +100,10 @@
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, order)
 
+	if f.boot != boot {
+		return fault.New(fault.BackendFailed, "the connection broke")
+	}
+
 	if f.fencing && order.Fence < f.fence {
 		return fault.New(fault.Conflict, "old fencing number")
 	}
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -242,7 +242,10 @@
 	g.configure(state.limits)
 	g.slots.Capacity = state.info.Slots
 
-	if g.ramp.Report(now, state.info.Boot, state.report.Cold) {
+	// A report of an earlier run of the engine says nothing about this one.
+	outdated := state.report.Boot != state.info.Boot
+
+	if g.ramp.Report(now, state.info.Boot, state.report.Cold || outdated) {
 		coldStarts.Inc(1)
 	}
 
@@ -250,8 +253,7 @@
 		g.slots.Reset()
 	}
 
-	// A report of an earlier run of the engine says nothing about this one.
-	if state.report.Boot == state.info.Boot {
+	if !outdated {
 		g.slots.Report(now, state.report)
 	}
 
--- a/internal/agent/server/generate_test.go
+++ b/internal/agent/server/generate_test.go
@@ -13,6 +13,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
+// pollInterval is the time after which the agent has read the engine's state again.
+const pollInterval = 500 * time.Millisecond
+
 const whole = "0 1 2 3 4 "
 
 // Guards the normal path: load on demand, whole answer, residency on the answer.
@@ -140,6 +143,10 @@
 	turns := map[string]func(e *fakeEngine){
 		"flag":           func(e *fakeEngine) { e.cold = true },
 		"without notice": func(e *fakeEngine) { e.pace = 300 * time.Millisecond },
+		"restarted, and the report is outdated": func(e *fakeEngine) {
+			e.reported = &engine.Report{Boot: e.boot, Resident: e.resident}
+			e.boot, e.resident, e.fencing = "run-2", nil, true
+		},
 	}
 
 	for name, turn := range turns {
@@ -147,6 +154,10 @@
 			bubble(t, false, func(f *fixture) {
 				t := f.t
 
+				// An engine that has just started counts as cold for a second.
+				time.Sleep(2 * time.Second)
+				f.greet()
+
 				// The ramp grows to its ceiling of 4 with these requests.
 				for range 3 {
 					results := make([]<-chan result, 0, 8)
@@ -166,6 +177,9 @@
 					turn(f.engine)
 				})
 
+				// A restart that was not noticed yet refuses requests as not run.
+				time.Sleep(pollInterval)
+
 				first := f.begin(f.generate("first", "x"))
 				second := f.begin(f.generate("second", "x"))
 
@@ -179,7 +193,10 @@
 				}
 
 				time.Sleep(time.Second)
-				f.engine.set(func() { assert.Assert(t, f.engine.most <= 2, "%d run at once", f.engine.most) })
+				f.engine.set(func() {
+					assert.Assert(t, f.engine.most <= 2, "%d run at once", f.engine.most)
+					f.engine.reported = nil
+				})
 
 				for _, r := range append(results, first, second) {
 					assert.Equal(t, (<-r).kind(), "done")
