Free a slot for an adapter that waits while every other one is in use

Requests that overlap on the resident adapters could hold every slot for good, so a rare adapter was refused after its whole deadline. After one second the least frequently used adapter takes no more requests, and its slot is reused once its last request has ended.

--- a/internal/adapter/slots/report.go
+++ b/internal/adapter/slots/report.go
@@ -14,6 +14,7 @@
 	clear(s.resident)
 	clear(s.removed)
 	s.loading = nil
+	s.closing = nil
 	s.epoch++
 }
 
--- a/internal/adapter/slots/slots.go
+++ b/internal/adapter/slots/slots.go
@@ -20,6 +20,9 @@
 	lastBackoff  = time.Minute
 	// firstEstimate is the expected time of a load before one was seen.
 	firstEstimate = 250 * time.Millisecond
+	// patience is how long a load waits for a slot while every adapter is in use, before one of them takes no more requests.
+	// Without it, requests that overlap could hold every slot for good, and a rare adapter would never be loaded.
+	patience = time.Second
 	// estimateHalfLife is the time in which the estimate moves half of the way back to firstEstimate.
 	estimateHalfLife = 10 * time.Second
 	// estimateGain is the weight of the newest load in the expected time.
@@ -63,6 +66,8 @@
 	removed map[engine.Adapter]time.Time
 	// loading is the load in progress; at most one.
 	loading *Plan
+	// closing is an adapter in use that takes no more requests, so that its slot becomes free; nil for none.
+	closing *engine.Adapter
 	// started is when the budget for the current load was asked for.
 	started time.Time
 	// estimate is the average time of a load as of the time estimated; 0 before one was seen.
@@ -133,7 +138,7 @@
 
 // Expected returns the expected time until the adapter is resident.
 func (s *Slots) Expected(now time.Time, adapter engine.Adapter) time.Duration {
-	if s.resident[adapter] != nil {
+	if s.resident[adapter] != nil && !s.leaving(adapter) {
 		return 0
 	}
 
@@ -208,6 +213,10 @@
 	s.prepare()
 
 	adapter, found := s.choose(now)
+	if !found {
+		s.closing = nil
+	}
+
 	if s.loading != nil || !found {
 		return false
 	}
@@ -216,9 +225,22 @@
 		return true
 	}
 
-	_, found = s.victim(now)
+	if _, found = s.victim(now); found {
+		return true
+	}
 
-	return found
+	if s.closing == nil && now.Sub(s.wanted[adapter].since) >= patience {
+		s.close(now)
+	}
+
+	return false
+}
+
+// close makes the least frequently used adapter take no more requests.
+func (s *Slots) close(now time.Time) {
+	if adapter, found := s.least(now, func(candidate *slot) bool { return !candidate.suspect }); found {
+		s.closing = &adapter
+	}
 }
 
 // Next returns the load to carry out next, if one can be started: that of the highest class, and of the longest wait
@@ -244,6 +266,7 @@
 		}
 
 		plan.Victim = &victim
+		s.closing = nil
 	}
 
 	s.loading = &plan
@@ -291,6 +314,11 @@
 
 // victim returns the least frequently used adapter that nothing uses.
 func (s *Slots) victim(now time.Time) (engine.Adapter, bool) {
+	return s.least(now, func(candidate *slot) bool { return candidate.pins == 0 && !candidate.suspect })
+}
+
+// least returns the least frequently used adapter among those that are eligible.
+func (s *Slots) least(now time.Time, eligible func(candidate *slot) bool) (engine.Adapter, bool) {
 	var (
 		best  engine.Adapter
 		score float64
@@ -298,7 +326,7 @@
 	)
 
 	for adapter, candidate := range s.resident {
-		if candidate.pins > 0 || candidate.suspect {
+		if !eligible(candidate) {
 			continue
 		}
 
@@ -335,6 +363,10 @@
 		return s.fail(now, w)
 	}
 
+	if s.closing != nil && *s.closing == plan.Adapter {
+		s.closing = nil
+	}
+
 	s.observe(now, now.Sub(s.started))
 	added := s.add(now, plan.Adapter)
 	added.suspect = false
@@ -418,6 +450,11 @@
 func (s *Slots) remove(now time.Time, adapter engine.Adapter) {
 	delete(s.resident, adapter)
 	s.removed[adapter] = now
+
+	if s.closing != nil && *s.closing == adapter {
+		s.closing = nil
+	}
+
 	s.epoch++
 }
 
@@ -426,8 +463,12 @@
 	waiter.pin = on
 }
 
-// leaving reports whether the adapter is being unloaded by the current load.
+// leaving reports whether the adapter takes no more requests, because it is being unloaded or is to be.
 func (s *Slots) leaving(adapter engine.Adapter) bool {
+	if s.closing != nil && *s.closing == adapter {
+		return true
+	}
+
 	return s.loading != nil && s.loading.Victim != nil && *s.loading.Victim == adapter
 }
 
--- a/internal/adapter/slots/slots_test.go
+++ b/internal/adapter/slots/slots_test.go
@@ -219,6 +219,42 @@
 	assert.Assert(t, s.Holds(after))
 }
 
+// Guards against a rare adapter that is never loaded because overlapping requests hold every slot.
+func TestStarvation(t *testing.T) {
+	s := &slots.Slots{Capacity: 1}
+	load(t, s, now, "hot", 5)
+
+	first, second, third := waiter("hot", now), waiter("hot", now), waiter("hot", now)
+	rare := waiter("rare", now)
+
+	acquire := func(at time.Time, w *slots.Waiter, want slots.Status) {
+		status, err := s.Acquire(at, w)
+		assert.NilError(t, err)
+		assert.Equal(t, status, want)
+	}
+
+	acquire(now, first, slots.Pinned)
+	acquire(now, rare, slots.Waiting)
+	assert.Assert(t, !s.Wants(now))
+	acquire(now, second, slots.Pinned)
+	s.Release(first)
+
+	at := now.Add(time.Second)
+	assert.Assert(t, !s.Wants(at), "still in use")
+	acquire(at, third, slots.Waiting)
+	s.Release(second)
+
+	for _, next := range []*slots.Waiter{rare, third} {
+		plan, ok := s.Next(at, at)
+		assert.Assert(t, ok)
+		assert.Equal(t, plan.Adapter, next.Adapter)
+		s.Unloaded(at, *plan.Victim)
+		assert.Equal(t, len(s.Loaded(at, false)), 1)
+		assert.Assert(t, s.Holds(next))
+		s.Release(next)
+	}
+}
+
 // Guards against eviction of a pinned adapter, too many residents and lost pins over random operations.
 func TestPins(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -282,7 +318,10 @@
 					s.Reset()
 				}
 			},
-			"wait": func(*rapid.T) { at = at.Add(time.Second) },
+			"wait": func(*rapid.T) {
+				at = at.Add(time.Second)
+				s.Wants(at)
+			},
 			"": func(t *rapid.T) {
 				resident, _ := s.Resident()
 				assert.Assert(t, len(resident) <= s.Capacity, "resident %v", resident)
