--- a/internal/agent/server/random_test.go
+++ b/internal/agent/server/random_test.go
@@ -57,7 +57,7 @@
 }
 
 // Guards against partial answers that look whole, refusals that say "not run" of requests that ran, and evictions in
-// use, whatever the engine does. The invariants in the program are checked as well.
+// use, whatever the engine does, and against more requests at the engine than the limit. The invariants in the program are checked as well.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		plan := rapid.SliceOfN(rapid.IntRange(0, 999), 20, 60).Draw(r, "plan")
@@ -90,6 +90,8 @@
 					t.Errorf("request %s ended without an answer: %v", id, got.err)
 				}
 			}
+
+			f.engine.set(func() { assert.Assert(t, f.engine.most <= 4, "%d requests ran at once", f.engine.most) })
 		})
 	})
 }
