--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -7,22 +7,29 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 )
 
 // fakeEngine is an engine in memory. Its fields are changed under mu.
 type fakeEngine struct {
-	mu       sync.Mutex
-	boot     string
-	slots    int
+	mu    sync.Mutex
+	boot  string
+	slots int
+	// reported is an outdated report that is still given; may be nil.
+	reported *engine.Report
 	cold     bool
+	// lossy loses the response to Generate after the request was accepted.
+	lossy    bool
 	fencing  bool
+	fence    int64
 	down     bool
 	loadErr  error
 	loadTime time.Duration
@@ -38,6 +45,7 @@
 	canceled []string
 	asked    []string
 	most     int
+	sent     int
 	problems []string
 }
 
@@ -67,6 +75,10 @@
 	defer f.mu.Unlock()
 
 	report := engine.Report{Boot: f.boot, Resident: slices.Clone(f.resident), Cold: f.cold}
+	if f.reported != nil {
+		report = *f.reported
+	}
+
 	for id, request := range f.running {
 		report.Running = append(report.Running, engine.Running{ID: id, Adapter: request.Adapter})
 	}
@@ -77,6 +89,7 @@
 func (f *fakeEngine) Order(_ context.Context, order engine.Order) error {
 	f.mu.Lock()
 	pause := f.loadTime
+	boot := f.boot
 	f.mu.Unlock()
 
 	if order.Action == engine.ActionLoad {
@@ -87,6 +100,14 @@
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, order)
 
+	if f.boot != boot {
+		return fault.New(fault.BackendFailed, "the connection broke")
+	}
+
+	if f.fencing && order.Fence < f.fence {
+		return fault.New(fault.Conflict, "old fencing number")
+	}
+
 	if order.Action == engine.ActionUnload {
 		for id, request := range f.running {
 			if request.Adapter == order.Adapter {
@@ -123,6 +144,11 @@
 	}
 
 	f.asked = append(f.asked, request.ID)
+
+	if f.lossy {
+		return nil, fault.New(fault.BackendFailed, "response lost")
+	}
+
 	f.running[request.ID] = request
 	f.most = max(f.most, len(f.running))
 
@@ -195,6 +221,7 @@
 	}
 
 	s.next++
+	s.engine.sent++
 
 	if s.change != nil {
 		changed := s.change(event)
@@ -219,12 +246,16 @@
 	err   error
 }
 
-func (f *fakeService) Call(_ context.Context, request service.Request) (service.Response, error) {
+func (f *fakeService) Call(ctx context.Context, request service.Request) (service.Response, error) {
 	f.mu.Lock()
 	took, err := f.took, f.err
 	f.mu.Unlock()
 
-	time.Sleep(took)
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		return service.Response{}, ctx.Err()
+	}
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -242,6 +273,22 @@
 type fakeSource struct {
 	board *board.Board
 	next  *document.Document
+	// stale stops the confirmations.
+	stale atomic.Bool
+}
+
+// refresh confirms the document until the context ends.
+func (f *fakeSource) refresh(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !f.stale.Load() {
+			f.board.Fresh.Set(board.Fresh{Version: 1, Confirmed: time.Now()})
+		}
+
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	}
 }
 
 func (f *fakeSource) CatchUp(context.Context, int64) error {
@@ -254,7 +301,21 @@
 	return nil
 }
 
-func (f *fakeSource) Confirm(int64, time.Time) {}
+func (f *fakeSource) Confirm(int64, time.Duration) {}
+
+// fakeTable is a table that may be down.
+type fakeTable struct {
+	table.Memory
+	down atomic.Bool
+}
+
+func (f *fakeTable) Get(ctx context.Context, key string) (table.Row, error) {
+	if f.down.Load() {
+		return table.Row{}, fault.New(fault.TableUnavailable, "down")
+	}
+
+	return f.Memory.Get(ctx, key)
+}
 
 type fakeBudget struct{}
 
--- a/internal/agent/server/fixture_test.go
+++ b/internal/agent/server/fixture_test.go
@@ -15,7 +15,6 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/agent/server"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
-	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
@@ -28,6 +27,7 @@
 	service  *fakeService
 	board    *board.Board
 	source   *fakeSource
+	table    *fakeTable
 	listener *pipeListener
 	stop     context.CancelFunc
 	ended    chan error
@@ -47,19 +47,32 @@
 // bubble runs a test with an agent in a synctest bubble; the agent is stopped at the end.
 func bubble(t *testing.T, plain bool, test func(f *fixture)) {
 	t.Helper()
+	agent(t, plain, func(*fixture) {}, test)
+}
+
+// prepared runs a test like bubble, with an engine that is prepared before the agent starts.
+func prepared(t *testing.T, prepare, test func(f *fixture)) {
+	t.Helper()
+	agent(t, false, prepare, test)
+}
+
+func agent(t *testing.T, plain bool, prepare, test func(f *fixture)) {
+	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{t: t, board: &board.Board{}, listener: newListener(), ended: make(chan error, 1)}
+		f := &fixture{t: t, board: &board.Board{}, listener: newListener(), ended: make(chan error, 1), table: &fakeTable{}}
 		f.source = &fakeSource{board: f.board}
 		f.board.Document.Set(fleet())
 
 		s := &server.Server{
-			Settings: settings.Agent{Server: "s1", Name: "press", Place: settings.Place{VM: "v1", Domain: "d1"}},
-			Table:    &table.Memory{},
+			Settings: settings.Agent{Server: "s1", Name: "press", Place: settings.Place{VM: "v1", Domain: "d1"}, Drain: time.Minute},
+			Table:    f.table,
 			Listener: f.listener,
 			Board:    f.board,
 			Source:   f.source,
 			Budget:   fakeBudget{},
+
+			Background: f.source.refresh,
 		}
 
 		f.engine = newFake()
@@ -71,18 +84,23 @@
 			s.Engine = f.engine
 		}
 
+		prepare(f)
+
 		var ctx context.Context
 
 		ctx, f.stop = context.WithCancel(t.Context())
 
 		go func() { f.ended <- s.Run(ctx) }()
 
+		defer func() {
+			f.stop()
+			assert.NilError(t, <-f.ended)
+			f.engine.set(func() { assert.DeepEqual(t, f.engine.problems, []string(nil)) })
+		}()
+
 		synctest.Wait()
 		f.greet()
 		test(f)
-		f.stop()
-		assert.NilError(t, <-f.ended)
-		f.engine.set(func() { assert.DeepEqual(t, f.engine.problems, []string(nil)) })
 	})
 }
 
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -242,7 +242,10 @@
 	g.configure(state.limits)
 	g.slots.Capacity = state.info.Slots
 
-	if g.ramp.Report(now, state.info.Boot, state.report.Cold) {
+	// A report of an earlier run of the engine says nothing about this one.
+	outdated := state.report.Boot != state.info.Boot
+
+	if g.ramp.Report(now, state.info.Boot, state.report.Cold || outdated) {
 		coldStarts.Inc(1)
 	}
 
@@ -250,8 +253,7 @@
 		g.slots.Reset()
 	}
 
-	// A report of an earlier run of the engine says nothing about this one.
-	if state.report.Boot == state.info.Boot {
+	if !outdated {
 		g.slots.Report(now, state.report)
 	}
 
@@ -357,6 +359,23 @@
 	}
 }
 
+// stall ends the load in progress and refuses every job that waits for one, because no load can be ordered for a while.
+func (g *gate) stall(now time.Time, reason error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.slots.Abandon()
+
+	for item, j := range g.jobs {
+		if item.Blocked {
+			g.queue.Remove(item)
+			g.refuse(j, fault.Wrap(reason, fault.AdapterUnavailable, "adapters cannot be loaded without a fencing number"))
+		}
+	}
+
+	g.dispatch(now)
+}
+
 // busy returns the number of waiting and running jobs.
 func (g *gate) busy() int {
 	g.mu.Lock()
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -23,7 +23,6 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/probe"
-	"github.com/chestnutbeam/chestnutbeam/internal/order/attempt"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
@@ -56,8 +55,8 @@
 type Source interface {
 	// CatchUp returns when the board holds the version or a higher one, or with an error.
 	CatchUp(ctx context.Context, version int64) error
-	// Confirm tells that an entry confirmed the version at the time.
-	Confirm(version int64, at time.Time)
+	// Confirm tells that an entry confirmed the version at least as lately as the age says.
+	Confirm(version int64, age time.Duration)
 }
 
 // Server is an agent process. Its exported fields are set before Run.
@@ -94,6 +93,7 @@
 	// polled is when the last read of the engine's state began.
 	polled    time.Time
 	readiness probe.Readiness
+	held      atomic.Pointer[heldLimits]
 	// work is the context of work at the backend server; it outlives the streams of the entries.
 	work context.Context
 	// group counts the work at the backend server.
@@ -164,7 +164,7 @@
 	s.tickets.valid = map[string]ticket{}
 	s.tickets.current = map[string]ticket{}
 	s.runs.byID = map[string]*run{}
-	s.attempts.book = attempt.Book[*rpc.Done]{Retention: attemptRetention, Ticket: ticketLife, Capacity: attemptCapacity}
+	s.attempts.book = newBook()
 	s.fence = &orders.Fence{Table: s.Table, Server: s.Settings.Server}
 	s.orders = &orders.Orders{Engine: s.Engine, Fence: s.fence}
 
@@ -280,19 +280,39 @@
 	return load
 }
 
-// policy returns the defaults that apply to a request.
-func (s *Server) policy(_ *rpc.RunRequest) document.Default {
+// policy returns the defaults with the exceptions for this backend server, and for the request unless it is nil.
+func (s *Server) policy(request *rpc.RunRequest) document.Default {
 	doc := s.Board.Document.Value()
 	if doc == nil {
 		return document.Default{}
 	}
 
-	return doc.Default
+	return doc.Resolve(document.Query{
+		Domain:  s.Settings.Place.Domain,
+		Server:  s.Settings.Server,
+		Route:   request.GetRoute(),
+		Account: request.GetAccount(),
+		Adapter: request.GetGenerate().GetAdapter(),
+	})
 }
 
-// limits returns the settings of the gate.
+// limits returns the settings of the gate; they are resolved once for each document.
 func (s *Server) limits() limits {
+	doc := s.Board.Document.Value()
+
+	if held := s.held.Load(); held != nil && held.doc == doc {
+		return held.limits
+	}
+
 	value := s.policy(nil)
+	found := limits{queue: value.Queue, ramp: value.Ramp, ceiling: value.Limit}
+	s.held.Store(&heldLimits{doc: doc, limits: found})
+
+	return found
+}
 
-	return limits{queue: value.Queue, ramp: value.Ramp, ceiling: value.Limit}
+// heldLimits are the limits that a document gives.
+type heldLimits struct {
+	doc    *document.Document
+	limits limits
 }
