Test the follower under outages, cuts, restarts and lost answers

Focused tests failed without the immediate spread ("valid != revoked: entry-1"), with a majority of one, without the size bound of answers (6,595,481 bytes), without shared reads (4 calls), and without whole documents from peers.

--- /dev/null
+++ b/internal/config/follow/follow_test.go
@@ -0,0 +1,317 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/auth/keys"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+)
+
+func noDelay() time.Duration { return 0 }
+
+// settle lets goroutines end their last call; virtual time stops with the test function.
+const settle = 30 * time.Second
+
+// inWorld runs a test in virtual time with an account and one key, "key-a".
+func inWorld(t *testing.T, domains []string, test func(w *world)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+
+		w := newWorld(ctx, func() time.Duration { return time.Millisecond }, domains...)
+		time.Sleep(time.Second)
+		assert.Equal(t, w.process(0).addAccount(), http.StatusOK)
+		assert.Equal(t, w.process(0).grant("key-a"), http.StatusOK)
+
+		w.t = t
+		test(w)
+		cancel()
+		time.Sleep(settle)
+	})
+}
+
+func (w *world) each(check func(p *process)) {
+	for i := range w.list.VMs {
+		check(w.process(i))
+	}
+}
+
+// Guards against a process without contact that works on under an old version, and against refusals by the others.
+func TestCutOffEntryRefuses(t *testing.T) {
+	inWorld(t, []string{"a", "b", "c"}, func(w *world) {
+		t := w.t
+
+		time.Sleep(time.Second)
+		w.set(func() { w.cut["entry-0"] = true })
+		time.Sleep(4 * time.Second)
+
+		w.process(1).revoke("key-a")
+		time.Sleep(time.Minute)
+		assert.Assert(t, !w.process(0).fresh())
+		assert.Assert(t, w.process(1).fresh() && w.process(2).fresh())
+		assert.Equal(t, w.process(2).lookup.State("key-a"), keys.StateRevoked)
+
+		w.set(func() { w.cut["entry-0"] = false })
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, w.process(0).fresh())
+		assert.Equal(t, w.process(0).lookup.State("key-a"), keys.StateRevoked)
+	})
+}
+
+// Guards against a failure domain that is partitioned alone, with the table down, and goes on.
+func TestMinorityRefusesDuringTableOutage(t *testing.T) {
+	inWorld(t, []string{"a", "b", "c"}, func(w *world) {
+		t := w.t
+
+		w.set(func() { w.down = true })
+		time.Sleep(time.Minute)
+		w.each(func(p *process) { assert.Assert(t, p.fresh(), p.name) })
+
+		w.set(func() { w.cut["entry-2"] = true })
+		time.Sleep(7 * time.Second)
+		assert.Assert(t, w.process(0).fresh() && w.process(1).fresh())
+		assert.Assert(t, !w.process(2).fresh())
+
+		w.set(func() { w.cut["entry-1"] = true })
+		time.Sleep(7 * time.Second)
+		assert.Assert(t, !w.process(0).fresh())
+	})
+}
+
+// Guards against a revocation that is lost in a table outage, stays at one entry, or is committed twice.
+func TestRevocationDuringTableOutage(t *testing.T) {
+	inWorld(t, []string{"a", "a", "b", "b", "c"}, func(w *world) {
+		t := w.t
+
+		time.Sleep(2 * time.Second)
+		w.set(func() {
+			w.down = true
+			w.cut["entry-4"] = true
+		})
+
+		assert.Equal(t, w.process(0).revoke("key-a"), http.StatusAccepted)
+
+		for i := range 4 {
+			assert.Equal(t, w.process(i).lookup.State("key-a"), keys.StateRevoked, "entry-%d", i)
+		}
+
+		assert.Equal(t, w.process(4).lookup.State("key-a"), keys.StateValid)
+
+		// The entry that accepted the revocation is replaced before the table returns.
+		w.set(func() { w.cut["entry-4"] = false })
+		w.start(w.list.VMs[0])
+		time.Sleep(5 * time.Second)
+		w.each(func(p *process) { assert.Equal(t, p.lookup.State("key-a"), keys.StateRevoked, p.name) })
+
+		w.set(func() { w.down = false })
+		time.Sleep(10 * time.Second)
+		w.each(func(p *process) {
+			assert.Equal(t, p.version(), int64(3), p.name)
+			assert.Equal(t, len(p.board.Revoked.Value()), 0, p.name)
+			assert.Assert(t, p.board.Document.Value().Keys["key-a"].Revoked, p.name)
+		})
+	})
+}
+
+// Guards against a new process that waits for the table although peers have the configuration.
+func TestNewProcessLearnsFromPeers(t *testing.T) {
+	// A process that read the document from the table has no log in memory and sends the whole document.
+	for name, restarted := range map[string]bool{"log": false, "whole document": true} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, []string{"a", "b", "c"}, func(w *world) {
+				t := w.t
+
+				if restarted {
+					w.stopAll()
+					w.start(w.list.VMs[0])
+					time.Sleep(3 * time.Second)
+					w.start(w.list.VMs[1])
+				}
+
+				time.Sleep(3 * time.Second)
+				w.set(func() { w.down = true })
+
+				p := w.start(w.list.VMs[2])
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, p.version(), int64(2))
+				assert.Assert(t, p.fresh())
+				assert.Equal(t, p.lookup.Find("key-a").State, keys.StateValid)
+			})
+		})
+	}
+}
+
+// Guards against an agent that misses a version that a request names, and against one that takes an older
+// confirmation for a newer version.
+func TestAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{cut: map[string]bool{}, delay: noDelay}
+		commits := &store.Store{Table: view{w, "operator"}}
+		agent := &follow.Follower{Board: &board.Board{}, Store: &store.Store{Table: view{w, "agent"}}, Period: follow.AgentPeriod}
+
+		assert.NilError(t, agent.CatchUp(t.Context(), 0))
+
+		d, err := commits.Latest(t.Context())
+		assert.NilError(t, err)
+
+		_, err = commits.Commit(t.Context(), d, accountChange())
+		assert.NilError(t, err)
+		assert.NilError(t, agent.CatchUp(t.Context(), 1))
+		assert.Equal(t, agent.Board.Document.Value().Version, int64(1))
+
+		w.set(func() { w.down = true })
+		time.Sleep(follow.MaxAge + time.Millisecond)
+
+		fresh := func() bool { return follow.IsFresh(agent.Board.Fresh.Value(), time.Now()) }
+		assert.Assert(t, !fresh())
+		assert.Assert(t, fault.Is(agent.CatchUp(t.Context(), 2), fault.StaleConfig))
+
+		agent.Confirm(0, 0)
+		agent.Confirm(1, follow.MaxAge+time.Second)
+		assert.Assert(t, !fresh())
+		agent.Confirm(1, time.Second)
+		assert.Assert(t, fresh())
+	})
+}
+
+// Guards against many requests for a newer version each waiting for a read of their own while the table is down.
+func TestCatchUpIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{cut: map[string]bool{}, down: true}
+		agent := &follow.Follower{Board: &board.Board{}, Store: &store.Store{Table: view{w, "agent"}}, Period: follow.AgentPeriod}
+		done := make(chan error)
+
+		for range 100 {
+			go func() { done <- agent.CatchUp(context.Background(), 1) }()
+		}
+
+		for range 100 {
+			assert.Assert(t, fault.Is(<-done, fault.StaleConfig))
+		}
+
+		assert.Assert(t, w.calls <= 2, "%d calls", w.calls)
+	})
+}
+
+// Guards against a wrong majority, and against peers that count although the table answers.
+func TestFreshness(t *testing.T) {
+	now := time.Unix(1000, 0)
+	second := func(n int) time.Time { return now.Add(-time.Duration(n) * time.Second) }
+
+	cases := map[string]struct {
+		domains []string
+		peers   map[string]time.Time
+		silent  bool
+		want    time.Time
+	}{
+		"table answers":           {[]string{"a", "b", "c"}, map[string]time.Time{"b": now, "c": now}, false, second(30)},
+		"majority with own":       {[]string{"a", "b", "c"}, map[string]time.Time{"b": second(2)}, true, second(2)},
+		"newest peer decides":     {[]string{"a", "b", "c"}, map[string]time.Time{"b": second(9), "c": second(1)}, true, second(1)},
+		"own domain alone of two": {[]string{"a", "b"}, nil, true, second(30)},
+		"three of five":           {[]string{"a", "b", "c", "d", "e"}, map[string]time.Time{"b": second(1), "d": second(3)}, true, second(3)},
+		"unlisted peers":          {[]string{"a", "b", "c"}, map[string]time.Time{"x": now, "y": now}, true, second(30)},
+		"no list":                 {nil, map[string]time.Time{"b": now}, true, second(30)},
+		"own domain not listed":   {[]string{"b", "c", "d"}, map[string]time.Time{"b": second(1)}, true, second(30)},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			fresh := follow.Freshness{Domain: "a"}
+			fresh.ConfirmTable(second(30))
+			fresh.TableAnswers(!tc.silent)
+
+			for domain, at := range tc.peers {
+				fresh.ConfirmPeer(domain, at)
+			}
+
+			assert.Equal(t, fresh.Confirmed(now, tc.domains), tc.want)
+		})
+	}
+}
+
+// Guards against messages above the size that drpc accepts, and against gaps, when much has to be caught up.
+func TestLargeHistory(t *testing.T) {
+	rows := &table.Memory{}
+	list := vms.List{VMs: []vms.VM{{Name: "x", Address: "x", Domain: "a", Role: vms.RoleEntry}, {Name: "y", Address: "y", Domain: "b", Role: vms.RoleEntry}}}
+	ctx := context.Background()
+	serving := &follow.Follower{Board: &board.Board{}, Store: &store.Store{Table: rows}, Self: follow.Self{Name: "x", Address: "x", Domain: "a"}}
+	serving.Board.VMs.Set(list)
+	assert.NilError(t, serving.CatchUpHead(ctx))
+
+	for i := range 10 {
+		change := largeChange(int64(i)+1, fmt.Sprint("m", i, "-"))
+		d, err := serving.Store.Commit(ctx, serving.Board.Document.Value(), change)
+		assert.NilError(t, err)
+		serving.Adopt(d, change)
+	}
+
+	down := &world{cut: map[string]bool{}, down: true, delay: noDelay, processes: map[string]*process{"x": {follower: serving}}}
+	learning := &follow.Follower{
+		Board: &board.Board{}, Store: &store.Store{Table: view{down, "y"}}, Peers: sized{t, link{down, "y"}},
+		Self: follow.Self{Name: "y", Address: "y", Domain: "b"},
+	}
+	learning.Board.VMs.Set(list)
+
+	for range 8 {
+		learning.SyncAll(ctx)
+	}
+
+	assert.DeepEqual(t, learning.Board.Document.Value(), serving.Board.Document.Value())
+}
+
+// Guards against a log that was read before the newest document was learned and arrives after it.
+func TestLateAnswerChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow = 300 * time.Millisecond
+
+		w := &world{cut: map[string]bool{}, delay: noDelay}
+		commits := &store.Store{Table: &w.table}
+		agent := &follow.Follower{Board: &board.Board{}, Store: &store.Store{Table: view{w, "agent"}}}
+		d := document.Empty()
+		grow := func() document.Change {
+			change := accountChange()
+			change.Version = d.Version + 1
+			change.ID = fmt.Sprint(change.Version)
+
+			next, err := commits.Commit(t.Context(), d, change)
+			assert.NilError(t, err)
+
+			d = next
+
+			return change
+		}
+
+		grow()
+		assert.NilError(t, agent.CatchUpHead(t.Context()))
+		grow()
+
+		w.delay = func() time.Duration { return slow }
+		done := make(chan error)
+
+		go func() { done <- agent.CatchUpHead(t.Context()) }()
+
+		// The head has arrived, and the log up to version 2 is on its way.
+		time.Sleep(slow + slow/2)
+
+		change := grow()
+		agent.Adopt(d, change)
+		assert.Equal(t, agent.Board.Document.Value().Version, int64(3))
+		assert.NilError(t, <-done)
+		assert.Equal(t, agent.Board.Document.Value().Version, int64(3))
+	})
+}
