--- a/internal/config/document/fleet.go
+++ b/internal/config/document/fleet.go
@@ -6,9 +6,8 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/config/locate"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
@@ -50,7 +49,7 @@
 	check.run()
 
 	if len(check.problems) > 0 {
-		return nil, fault.New(fault.InvalidRequest, "fleet file:\n%s", locate(data, check.problems))
+		return nil, fault.New(fault.InvalidRequest, "fleet file:\n%s", locateProblems(data, check.problems))
 	}
 
 	return fleet, nil
@@ -78,16 +77,13 @@
 	return &next
 }
 
-// locate returns one line for each problem, with the line number of the field, its item or its section.
-func locate(data []byte, problems Problems) string {
-	file, err := parser.ParseBytes(data, 0)
-	if err != nil {
-		return problems.String()
-	}
-
+// locateProblems returns one line for each problem, with the line number of the field, its item or its section.
+func locateProblems(data []byte, problems Problems) string {
+	file := locate.Parse(data)
 	lines := make([]string, 0, len(problems))
+
 	for _, problem := range problems[:min(len(problems), shownProblems)] {
-		lines = append(lines, fmt.Sprintf("line %d: %s", lineOf(file, problem), problem))
+		lines = append(lines, fmt.Sprintf("line %d: %s", file.Line(problem.steps()...), problem))
 	}
 
 	if hidden := len(problems) - len(lines); hidden > 0 {
@@ -97,49 +93,16 @@
 	return strings.Join(lines, "\n")
 }
 
-// lineOf follows the path of a problem as deep as the file has it.
-func lineOf(file *ast.File, problem Problem) int {
-	steps := []string{string(problem.Section)}
-	if problem.Section != SectionDefault {
-		steps = append(steps, problem.Name)
-	}
-
-	if problem.Field != "" {
-		steps = append(steps, strings.Split(problem.Field, ".")...)
-	}
-
-	line := 1
-
-	if len(file.Docs) == 0 {
-		return line
-	}
-
-	node := file.Docs[0].Body
-
-	for _, step := range steps {
-		key, value := child(node, step)
-		if key == nil {
-			break
-		}
-
-		line = key.GetToken().Position.Line
-		node = value
-	}
-
-	return line
-}
-
-func child(node ast.Node, name string) (key, value ast.Node) {
-	mapping, ok := node.(*ast.MappingNode)
-	if !ok {
-		return nil, nil
+// steps is the path of the problem in a fleet file.
+func (p Problem) steps() []string {
+	steps := []string{string(p.Section)}
+	if p.Section != SectionDefault {
+		steps = append(steps, p.Name)
 	}
 
-	for _, entry := range mapping.Values {
-		if entry.Key.GetToken().Value == name {
-			return entry.Key, entry.Value
-		}
+	if p.Field != "" {
+		steps = append(steps, strings.Split(p.Field, ".")...)
 	}
 
-	return nil, nil
+	return steps
 }
