--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -161,23 +161,34 @@
 	return err
 }
 
-// pullShared reads the table even if the caller goes away, because other callers may share the result.
+// pullShared reads the table. The read goes on if the caller goes away, because other callers may share the result.
 func (f *Follower) pullShared(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), catchUpTimeout)
-	defer cancel()
+	done := make(chan error, 1)
 
-	return f.pull(ctx)
+	go func() {
+		reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), catchUpTimeout)
+		defer cancel()
+
+		done <- f.pull(reading)
+	}()
+
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-// Confirm notes that another process confirmed the version at the given age. The caller adds to the age the longest time
-// for which the message may have been on its way.
-func (f *Follower) Confirm(version int64, age time.Duration) {
-	if age < 0 || version != f.version() {
+// Confirm notes that another process confirmed the version at a moment on this process's clock. The caller allows for the
+// time that the message may have been on its way.
+func (f *Follower) Confirm(version int64, at time.Time) {
+	if version != f.version() || at.After(time.Now()) {
 		return
 	}
 
 	f.mu.Lock()
-	f.fresh.ConfirmTable(time.Now().Add(-age))
+	f.fresh.ConfirmTable(at)
 	f.mu.Unlock()
 
 	f.publishFresh()
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/ops/api"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
@@ -128,6 +129,29 @@
 	})
 }
 
+// Guards against a report of a version as in force while an entry may still work under an older one.
+func TestInForce(t *testing.T) {
+	inWorld(t, []string{"a", "b", "c"}, func(w *world) {
+		t := w.t
+
+		report := w.process(1).inForce(t, 2)
+		assert.Assert(t, !report.InForce && report.Remaining > 4, "%v", report)
+
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, w.process(1).inForce(t, 2).InForce)
+
+		w.set(func() { w.cut["entry-2"] = true })
+		assert.Equal(t, w.process(0).revoke("key-a"), http.StatusOK)
+		time.Sleep(7 * time.Second)
+
+		report = w.process(1).inForce(t, 3)
+		assert.Assert(t, !report.InForce)
+		assert.Equal(t, report.Entries[1].State, api.EntryConfirmed)
+		assert.Equal(t, report.Entries[2].State, api.EntryUnreachable)
+		assert.Assert(t, !w.process(2).fresh())
+	})
+}
+
 // Guards against a new process that waits for the table although peers have the configuration.
 func TestNewProcessLearnsFromPeers(t *testing.T) {
 	// A process that read the document from the table has no log in memory and sends the whole document.
@@ -181,10 +205,10 @@
 		assert.Assert(t, !fresh())
 		assert.Assert(t, fault.Is(agent.CatchUp(t.Context(), 2), fault.StaleConfig))
 
-		agent.Confirm(0, 0)
-		agent.Confirm(1, follow.MaxAge+time.Second)
+		agent.Confirm(0, time.Now())
+		agent.Confirm(1, time.Now().Add(-follow.MaxAge-time.Second))
 		assert.Assert(t, !fresh())
-		agent.Confirm(1, time.Second)
+		agent.Confirm(1, time.Now().Add(-time.Second))
 		assert.Assert(t, fresh())
 	})
 }
--- a/internal/config/follow/world_test.go
+++ b/internal/config/follow/world_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/auth/keys"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
@@ -305,13 +306,29 @@
 // post calls the operator API of a process and returns the status.
 func (p *process) post(path string, body any) int {
 	data, _ := json.Marshal(body)
-	request := httptest.NewRequest(http.MethodPost, api.Prefix+path, strings.NewReader(string(data)))
+
+	return p.call(http.MethodPost, path, string(data)).Code
+}
+
+func (p *process) call(method, path, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, api.Prefix+path, strings.NewReader(body))
 	request.Header.Set("Authorization", "Bearer "+token)
 
 	recorder := httptest.NewRecorder()
 	p.server.ServeHTTP(recorder, request)
 
-	return recorder.Code
+	return recorder
+}
+
+func (p *process) inForce(t *testing.T, version int64) api.InForce {
+	t.Helper()
+
+	var report api.InForce
+
+	answer := p.call(http.MethodGet, fmt.Sprint("/versions/", version), "")
+	assert.NilError(t, json.Unmarshal(answer.Body.Bytes(), &report), answer.Body.String())
+
+	return report
 }
 
 func (p *process) addAccount() int {
--- a/internal/ops/ctl/ctl_test.go
+++ b/internal/ops/ctl/ctl_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/alexflint/go-arg"
@@ -19,6 +22,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/entry/ops"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
@@ -28,19 +32,33 @@
 
 const token = "example-operator-token"
 
+// outage is a table that may be down.
+type outage struct {
+	table.Memory
+	down atomic.Bool
+}
+
+func (o *outage) Get(ctx context.Context, key string) (table.Row, error) {
+	if o.down.Load() {
+		return table.Row{}, fault.New(fault.TableUnavailable, "no answer")
+	}
+
+	return o.Memory.Get(ctx, key)
+}
+
 // console runs commands against an operator API in this process.
 type console struct {
 	t       *testing.T
 	address string
 	token   string
-	table   *table.Memory
+	table   *outage
 	board   *board.Board
 }
 
 func newConsole(t *testing.T) *console {
 	t.Helper()
 
-	c := &console{t: t, table: &table.Memory{}, board: &board.Board{}}
+	c := &console{t: t, table: &outage{}, board: &board.Board{}}
 	c.board.VMs.Set(vms.List{Sequence: 1, VMs: []vms.VM{
 		{Name: "entry-a1", Address: "127.0.0.1:8081", Domain: "a", Role: vms.RoleEntry},
 		{Name: "gpu-a1", Address: "127.0.0.1:8101", Domain: "a", Role: vms.RoleAgent, Server: "engine-a1", Serves: []string{"model/base"}},
@@ -149,6 +167,38 @@
 	assert.Equal(t, code, ctl.ExitUnreachable)
 }
 
+// Guards against a change that is reported as done during a table outage, and against a wrong token that is accepted.
+func TestOutage(t *testing.T) {
+	c := newConsole(t)
+
+	_, code := c.run("apply", "../../../examples/fleet.yaml", "--reason", "first fleet")
+	assert.Equal(t, code, 0)
+
+	out, code := c.run("--json", "key", "grant", "pistas")
+	assert.Equal(t, code, 0)
+
+	var granted struct{ ID string }
+
+	assert.NilError(t, json.Unmarshal([]byte(out), &granted))
+	c.table.down.Store(true)
+
+	out, code = c.run("domain", "out", "b", "--reason", "work")
+	assert.Equal(t, code, ctl.ExitFailed)
+	assert.Assert(t, strings.Contains(out, "table_unavailable"), out)
+
+	_, code = c.run("key", "revoke", granted.ID, "--reason", "leaked")
+	assert.Equal(t, code, ctl.ExitNotInForce)
+
+	out, _ = c.run("status")
+	assert.Assert(t, strings.Contains(out, "revoked, not yet committed: "+granted.ID), out)
+
+	assert.NilError(t, os.WriteFile(c.token, []byte("wrong"), 0o600))
+
+	out, code = c.run("status")
+	assert.Equal(t, code, ctl.ExitFailed)
+	assert.Assert(t, strings.Contains(out, "forbidden"), out)
+}
+
 // Guards against "in force" being reported before the freshness limit has passed.
 func TestReportWaitsForFreshnessLimit(t *testing.T) {
 	c := newConsole(t)
