Compress a whole document for a peer and reserve the account of the load budget

A document with 40,000 adapters was measured at 4,229,683 bytes, above the 4 MiB that drpc accepts, so a new process could not learn it during a table outage; TestSyncOverDRPC failed without compression. A process without a document waits up to 5 s for it.

--- a/internal/config/document/document_test.go
+++ b/internal/config/document/document_test.go
@@ -75,6 +75,7 @@
 		`[{"section":"route","name":"chat"}]`,
 		`[{"section":"adapter","name":"quote"}]`,
 		`[{"section":"account","name":"a","value":{"rate":0,"burst":0,"routes":["none"]}}]`,
+		`[{"section":"account","name":"weights","value":{"rate":1,"burst":1}}]`,
 		`[{"section":"adapter","name":"a","value":{"model":"none","versions":["V 1"],"pin":"v2","accounts":["nobody"]}}]`,
 		`[{"section":"adapter","name":"a","value":{"model":"base"}}]`,
 		`[{"section":"route","name":"r","value":{"path":"x","methods":["FETCH"],"open":true,"cost":-1}}]`,
--- a/internal/config/document/validate.go
+++ b/internal/config/document/validate.go
@@ -13,6 +13,9 @@
 // hashLength is the length of a SHA-256 in hex.
 const hashLength = 64
 
+// reservedAccount is the account whose tokens are loads from the weight store.
+const reservedAccount = "weights"
+
 // word is the form of every name: lower-case letters, digits, hyphens and dots.
 var word = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
 
@@ -229,6 +232,10 @@
 }
 
 func (c *checker) account(name string, account Account) {
+	if name == reservedAccount {
+		c.problems.add(SectionAccount, name, "", "is reserved for the load budget")
+	}
+
 	if !positive(account.Rate) {
 		c.problems.add(SectionAccount, name, "rate", "must be above 0 tokens per second")
 	}
--- a/internal/config/follow/drpc_test.go
+++ b/internal/config/follow/drpc_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +11,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/auth/keys"
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
@@ -18,7 +20,8 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
-// Guards against a service that works between structs and not over drpc.
+// Guards against a service that works between structs and not over drpc, and against a whole document that is too large
+// for one message.
 func TestSyncOverDRPC(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -29,6 +32,20 @@
 	assert.Equal(t, p.addAccount(), http.StatusOK)
 	assert.Equal(t, p.grant("key-a"), http.StatusOK)
 
+	// The document is read from the table, so there is no log in memory, and grows to the size of a large fleet.
+	p = w.start(w.list.VMs[0])
+	assert.NilError(t, p.follower.CatchUpHead(ctx))
+
+	large := *p.board.Document.Value()
+	large.Adapters = map[string]document.Adapter{}
+
+	for i := range 40000 {
+		name := fmt.Sprintf("wording-of-a-bookplate-series-%d", i)
+		large.Adapters[name] = document.Adapter{Model: "base", Versions: []string{"v1", "v2"}, Pin: "v2", Accounts: []string{"pistas"}}
+	}
+
+	p.board.Document.Set(&large)
+
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 
@@ -48,7 +65,8 @@
 	learning.SyncAll(ctx)
 
 	assert.Equal(t, learning.Board.Document.Value().Version, int64(2))
-	assert.Equal(t, learning.Board.Peers.Value()[list.VMs[0].Address].Boot, "boot-1")
+	assert.Equal(t, learning.Board.Peers.Value()[list.VMs[0].Address].Boot, "boot-2")
+	assert.Equal(t, len(learning.Board.Document.Value().Adapters), 40000)
 	assert.Equal(t, keys.NewIndex(learning.Board.Document.Value()).Find("key-a", nil).State, keys.StateValid)
 	assert.NilError(t, pool.Close())
 	cancel()
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -27,6 +27,8 @@
 	jitter = 0.2
 	// callTimeout bounds a read of the head and a call to a peer, so that several fit into MaxAge.
 	callTimeout = time.Second
+	// wholeTimeout bounds a call to a peer that may send a whole document.
+	wholeTimeout = 5 * time.Second
 	// catchUpTimeout bounds the read for a request that needs a newer version.
 	catchUpTimeout = 2 * time.Second
 	// readTimeout bounds reading the log or a snapshot.
--- a/internal/config/follow/peers.go
+++ b/internal/config/follow/peers.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
-	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
@@ -47,7 +46,6 @@
 	}
 
 	f.syncWith(ctx, f.others())
-	f.publishFresh()
 }
 
 // syncDomains calls one entry in each failure domain that has entries. Another one is chosen each time, so that an entry
@@ -85,10 +83,11 @@
 }
 
 func (f *Follower) syncOne(ctx context.Context, peer vms.VM) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	request := f.request()
+
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout(request))
 	defer cancel()
 
-	request := f.request()
 	started := time.Now()
 
 	reply, err := f.Peers.Sync(ctx, peer.Address, request)
@@ -108,6 +107,16 @@
 		Version: reply.GetConfigVersion(), Contact: time.Now(),
 	})
 	f.confirmFrom(peer, reply, started)
+	f.publishFresh()
+}
+
+// syncTimeout leaves a process without a document the time to receive a whole one; it serves nothing before.
+func syncTimeout(request *rpc.SyncRequest) time.Duration {
+	if request.GetConfigVersion() < 0 {
+		return wholeTimeout
+	}
+
+	return callTimeout
 }
 
 // confirmFrom counts an answer as a confirmation when the peer knows no newer version. Its own confirmation by the table
@@ -135,7 +144,7 @@
 	}
 
 	if len(reply.GetSnapshot()) > 0 {
-		next, err := store.DecodeSnapshot(reply.GetSnapshot(), reply.GetConfigVersion())
+		next, err := unpack(reply.GetSnapshot(), reply.GetConfigVersion())
 		if err != nil {
 			return err
 		}
--- a/internal/config/follow/serve.go
+++ b/internal/config/follow/serve.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -41,31 +39,39 @@
 
 // fill adds the version and what the caller lacks of it.
 func (f *Follower) fill(reply *rpc.SyncReply, after int64) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	d := f.Board.Document.Value()
+	d, log, ok := f.newer(after)
 	if d == nil {
 		reply.ConfigVersion = -1
 		return nil
 	}
 
 	reply.ConfigVersion = d.Version
+	reply.Log = log
 
-	if after < 0 || after >= d.Version {
+	if ok || after < 0 || after >= d.Version {
 		return nil
 	}
 
-	log, ok := f.history.after(after)
-	if ok {
-		reply.Log = log
-		return nil
+	var err error
+
+	reply.Snapshot, err = pack(d)
+
+	return err
+}
+
+// newer returns the document and the log entries after a version; false if the history does not reach back.
+func (f *Follower) newer(after int64) (*document.Document, [][]byte, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	d := f.Board.Document.Value()
+	if d == nil || after < 0 || after >= d.Version {
+		return d, nil, false
 	}
 
-	snapshot, err := json.Marshal(d)
-	reply.Snapshot = snapshot
+	log, ok := f.history.after(after)
 
-	return errors.Wrap(err, "encode document")
+	return d, log, ok
 }
 
 // noteCaller records an entry that called, under the address that the VM list has for it.
--- a/internal/ops/ctl/ctl.go
+++ b/internal/ops/ctl/ctl.go
@@ -17,7 +17,7 @@
 
 // Args holds the arguments of the command.
 type Args struct {
-	Address []string      `arg:"--address,env:CHESTNUTBEAM_ADDRESS" help:"base URLs of entries, tried in order"`
+	Address []string      `arg:"--address,separate,env:CHESTNUTBEAM_ADDRESS" help:"base URL of an entry; may be repeated, tried in order"`
 	Token   string        `arg:"--token-file,env:CHESTNUTBEAM_TOKEN_FILE" help:"file with the operator token"`
 	JSON    bool          `arg:"--json" help:"print JSON"`
 	Wait    time.Duration `arg:"--wait" default:"15s" help:"how long to wait until a change is in force; 0s does not wait"`
