--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
@@ -37,6 +38,13 @@
 
 var logger = logrus.WithField("component", "config")
 
+var (
+	versionGauge = metrics.GetOrRegisterGauge("config.version", metrics.DefaultRegistry)
+	// ageGauge is the age of the last confirmation, in milliseconds.
+	ageGauge  = metrics.GetOrRegisterGauge("config.age", metrics.DefaultRegistry)
+	heldGauge = metrics.GetOrRegisterGauge("config.held", metrics.DefaultRegistry)
+)
+
 // Self describes an entry process to its peers.
 type Self struct {
 	// Name is the platform's name of the VM.
@@ -119,8 +127,10 @@
 }
 
 func (f *Follower) refreshTable(ctx context.Context) {
-	if err := f.pull(ctx); err == nil {
-		f.publishFresh()
+	err := f.pull(ctx)
+	f.publishFresh()
+
+	if err == nil {
 		f.commitHeld(ctx)
 	}
 }
@@ -303,4 +313,18 @@
 	if moment.After(before.Confirmed) || version > before.Version {
 		f.Board.Fresh.Set(board.Fresh{Version: version, Confirmed: later(before.Confirmed, moment)})
 	}
+
+	f.measure()
+}
+
+// measure updates the metrics.
+func (f *Follower) measure() {
+	fresh := f.Board.Fresh.Value()
+
+	versionGauge.Update(fresh.Version)
+	heldGauge.Update(int64(len(f.Board.Revoked.Value())))
+
+	if !fresh.Confirmed.IsZero() {
+		ageGauge.Update(time.Since(fresh.Confirmed).Milliseconds())
+	}
 }
