--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -206,6 +206,14 @@
 	f.publishFresh()
 }
 
+// TableAnswers reports whether the last read of the table was answered.
+func (f *Follower) TableAnswers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return !f.fresh.silent
+}
+
 // Reached returns when this process first had the version or a later one, and false if it has not.
 func (f *Follower) Reached(version int64) (time.Time, bool) {
 	f.mu.Lock()
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -105,7 +105,9 @@
 			w.cut["entry-4"] = true
 		})
 
+		began := time.Now()
 		assert.Equal(t, w.process(0).revoke("key-a"), http.StatusAccepted)
+		assert.Assert(t, time.Since(began) < 4*time.Second, "%s", time.Since(began))
 
 		for i := range 4 {
 			assert.Equal(t, w.process(i).lookup.State("key-a"), keys.StateRevoked, "entry-%d", i)
--- a/internal/entry/ops/keys.go
+++ b/internal/entry/ops/keys.go
@@ -1,7 +1,9 @@
 package ops
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -12,6 +14,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 )
 
+// revokeTimeout is how long a revocation waits for the table before it is held; callers use the key meanwhile.
+const revokeTimeout = 2 * time.Second
+
 func (a *API) grant(c echo.Context) error {
 	var request api.Grant
 	if err := bind(c, &request); err != nil {
@@ -51,15 +56,23 @@
 		Key: c.Param("name"), Author: change.Author, Reason: change.Reason, Time: change.Time, Change: change.ID,
 	}
 
-	outcome, err := a.commitItem(c.Request().Context(), change, func(d *document.Document) ([]document.Edit, error) {
-		return revokeEdits(d, revocation)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), revokeTimeout)
+	defer cancel()
+
+	outcome, err := a.commitItem(ctx, change, func(d *document.Document) ([]document.Edit, error) {
+		edits, err := revokeEdits(d, revocation)
+		if len(edits) > 0 && !a.Follower.TableAnswers() {
+			return nil, fault.New(fault.TableUnavailable, "the table does not answer")
+		}
+
+		return edits, err
 	})
 
 	switch {
 	case err == nil:
 		return c.JSON(http.StatusOK, outcome)
 	case unanswered(err):
-		a.Follower.Revoke(c.Request().Context(), revocation)
+		a.Follower.Revoke(context.WithoutCancel(c.Request().Context()), revocation)
 		return c.JSON(http.StatusAccepted, api.Outcome{Change: change.ID, Held: true})
 	default:
 		return err
--- a/internal/ops/ctl/ctl.go
+++ b/internal/ops/ctl/ctl.go
@@ -17,7 +17,7 @@
 
 // Args holds the arguments of the command.
 type Args struct {
-	Address []string      `arg:"--address,separate,env:CHESTNUTBEAM_ADDRESS" help:"base URL of an entry; may be repeated, tried in order"`
+	Address string        `arg:"--address,env:CHESTNUTBEAM_ADDRESS" help:"base URLs of entries, with commas between them, tried in order"`
 	Token   string        `arg:"--token-file,env:CHESTNUTBEAM_TOKEN_FILE" help:"file with the operator token"`
 	JSON    bool          `arg:"--json" help:"print JSON"`
 	Wait    time.Duration `arg:"--wait" default:"15s" help:"how long to wait until a change is in force; 0s does not wait"`
@@ -74,7 +74,7 @@
 }
 
 func (a *Args) session() (*session, error) {
-	if len(a.Address) == 0 {
+	if a.Address == "" {
 		return nil, usage("--address: no entry is given")
 	}
 
@@ -83,9 +83,9 @@
 		return nil, usage("--token-file: %v", err)
 	}
 
-	addresses := make([]string, 0, len(a.Address))
-	for _, address := range a.Address {
-		addresses = append(addresses, strings.TrimSuffix(address, "/"))
+	addresses := strings.Split(a.Address, ",")
+	for i, address := range addresses {
+		addresses[i] = strings.TrimSuffix(strings.TrimSpace(address), "/")
 	}
 
 	s := &session{
