--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -94,6 +94,29 @@
 	})
 }
 
+// Guards against an entry that refuses because it alone cannot reach the table, although a peer has confirmed the version.
+func TestPeerRelaysTable(t *testing.T) {
+	inWorld(t, []string{"a", "b", "c", "d", "e"}, func(w *world) {
+		t := w.t
+
+		// With three of five failure domains gone there is no majority.
+		w.set(func() {
+			w.cut = map[string]bool{"entry-2": true, "entry-3": true, "entry-4": true}
+			w.blind = map[string]bool{"entry-0": true}
+		})
+		time.Sleep(time.Minute)
+		assert.Assert(t, w.process(0).fresh())
+
+		assert.Equal(t, w.process(1).revoke("key-a"), http.StatusOK)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.process(0).lookup.State("key-a"), keys.StateRevoked)
+
+		w.set(func() { w.blind["entry-1"] = true })
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, !w.process(0).fresh() && !w.process(1).fresh())
+	})
+}
+
 // Guards against a revocation that is lost in a table outage, stays at one entry, or is committed twice.
 func TestRevocationDuringTableOutage(t *testing.T) {
 	inWorld(t, []string{"a", "a", "b", "b", "c"}, func(w *world) {
--- a/internal/config/follow/world_test.go
+++ b/internal/config/follow/world_test.go
@@ -54,6 +54,8 @@
 	processes map[string]*process
 	cut       map[string]bool
 	down      bool
+	// blind lists the processes that cannot reach the table.
+	blind map[string]bool
 	// up is when the table last came back.
 	up time.Time
 	// lose is the number of commits whose answers will be lost.
@@ -237,7 +239,7 @@
 	v.world.mu.Lock()
 	defer v.world.mu.Unlock()
 
-	return v.world.down || v.world.cut[v.from]
+	return v.world.down || v.world.cut[v.from] || v.world.blind[v.from]
 }
 
 func (v view) wait(ctx context.Context) error {
