--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
@@ -27,6 +28,8 @@
 	jitter = 0.2
 	// callTimeout bounds a read of the head and a call to a peer, so that several fit into MaxAge.
 	callTimeout = time.Second
+	// wholeTimeout bounds a call to a peer that may send a whole document.
+	wholeTimeout = 5 * time.Second
 	// catchUpTimeout bounds the read for a request that needs a newer version.
 	catchUpTimeout = 2 * time.Second
 	// readTimeout bounds reading the log or a snapshot.
@@ -35,6 +38,13 @@
 
 var logger = logrus.WithField("component", "config")
 
+var (
+	versionGauge = metrics.GetOrRegisterGauge("config.version", metrics.DefaultRegistry)
+	// ageGauge is the age of the last confirmation, in milliseconds.
+	ageGauge  = metrics.GetOrRegisterGauge("config.age", metrics.DefaultRegistry)
+	heldGauge = metrics.GetOrRegisterGauge("config.held", metrics.DefaultRegistry)
+)
+
 // Self describes an entry process to its peers.
 type Self struct {
 	// Name is the platform's name of the VM.
@@ -117,8 +127,10 @@
 }
 
 func (f *Follower) refreshTable(ctx context.Context) {
-	if err := f.pull(ctx); err == nil {
-		f.publishFresh()
+	err := f.pull(ctx)
+	f.publishFresh()
+
+	if err == nil {
 		f.commitHeld(ctx)
 	}
 }
@@ -161,28 +173,47 @@
 	return err
 }
 
-// pullShared reads the table even if the caller goes away, because other callers may share the result.
+// pullShared reads the table. The read goes on if the caller goes away, because other callers may share the result.
 func (f *Follower) pullShared(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), catchUpTimeout)
-	defer cancel()
+	done := make(chan error, 1)
+
+	go func() {
+		reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), catchUpTimeout)
+		defer cancel()
 
-	return f.pull(ctx)
+		done <- f.pull(reading)
+	}()
+
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-// Confirm notes that another process confirmed the version at the given age. The caller adds to the age the longest time
-// for which the message may have been on its way.
-func (f *Follower) Confirm(version int64, age time.Duration) {
-	if age < 0 || version != f.version() {
+// Confirm notes that another process confirmed the version at a moment on this process's clock. The caller allows for the
+// time that the message may have been on its way.
+func (f *Follower) Confirm(version int64, at time.Time) {
+	if version != f.version() || at.After(time.Now()) {
 		return
 	}
 
 	f.mu.Lock()
-	f.fresh.ConfirmTable(time.Now().Add(-age))
+	f.fresh.ConfirmTable(at)
 	f.mu.Unlock()
 
 	f.publishFresh()
 }
 
+// TableAnswers reports whether the last read of the table was answered.
+func (f *Follower) TableAnswers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return !f.fresh.silent
+}
+
 // Reached returns when this process first had the version or a later one, and false if it has not.
 func (f *Follower) Reached(version int64) (time.Time, bool) {
 	f.mu.Lock()
@@ -290,4 +321,18 @@
 	if moment.After(before.Confirmed) || version > before.Version {
 		f.Board.Fresh.Set(board.Fresh{Version: version, Confirmed: later(before.Confirmed, moment)})
 	}
+
+	f.measure()
+}
+
+// measure updates the metrics.
+func (f *Follower) measure() {
+	fresh := f.Board.Fresh.Value()
+
+	versionGauge.Update(fresh.Version)
+	heldGauge.Update(int64(len(f.Board.Revoked.Value())))
+
+	if !fresh.Confirmed.IsZero() {
+		ageGauge.Update(time.Since(fresh.Confirmed).Milliseconds())
+	}
 }
