Close gaps that tests with mechanisms switched off showed

While it drains, the entry now refuses new work explicitly for 1 s before it refuses connections; with the check switched off TestDrain sees an answer instead of draining. The fake agent answers a query for another boot as a fresh process would; without the entry's comparison of boot ids an order that may have run is reported as not run.

--- a/internal/entry/server/agent_test.go
+++ b/internal/entry/server/agent_test.go
@@ -185,6 +185,8 @@
 
 	switch {
 	case in.Boot != a.boot:
+		// A process that has just started has seen nothing.
+		reply.State = rpc.AttemptState_ATTEMPT_REFUSED
 	case done != nil:
 		reply.State, reply.Done = rpc.AttemptState_ATTEMPT_DONE, done
 	case seen:
--- a/internal/entry/server/failure_test.go
+++ b/internal/entry/server/failure_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -146,6 +147,10 @@
 			return a.finish(stream, request)
 		}), text: whole},
 		"another process": {run: func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			if request.Resume > 0 {
+				return a.answer(stream, request)
+			}
+
 			a.boot = "boot-2"
 
 			return cutAfter(1)(a, stream, request)
@@ -332,3 +337,58 @@
 		assert.DeepEqual(t, f.unused, []int64{15})
 	})
 }
+
+// Guards against retries that multiply the load when every server refuses.
+func TestRetriesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1", "s2", "s3", "s4")
+		e := f.start()
+		sent := 0
+
+		for _, a := range f.agents {
+			a.run = refusing(fault.Overloaded)
+		}
+
+		e.do(t, "POST", "/v1/chat/completions", chatBody)
+
+		for _, a := range f.agents {
+			sent += len(a.requests)
+		}
+
+		assert.Equal(t, sent, 3, "one request")
+
+		for range 20 {
+			e.do(t, "POST", "/v1/chat/completions", chatBody)
+		}
+
+		sent = 0
+		for _, a := range f.agents {
+			sent += len(a.requests)
+		}
+
+		// 21 requests, and 10 retries and 10% of the requests.
+		assert.Equal(t, sent, 21+13)
+	})
+}
+
+// Guards against work that starts in a failure domain which was taken out of service while the entry waited for a ticket.
+func TestDomainOutBeforeResend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1")
+		e := f.start()
+		f.agents[0].run = once(func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			f.mu.Lock()
+			changed := *f.doc
+			changed.Domains = map[string]document.Domain{"a": {Out: true}}
+			f.doc = &changed
+			f.mu.Unlock()
+			time.Sleep(2 * time.Second)
+
+			return a.refuse(stream, request, fault.TicketExpired)
+		})
+
+		got := e.do(t, "POST", "/v1/chat/completions", chatBody)
+		assert.Equal(t, kindOf(got), fault.Draining, got.body)
+		assert.Equal(t, len(f.agents[0].requests), 1)
+	})
+}
--- a/internal/entry/server/order_test.go
+++ b/internal/entry/server/order_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,6 +103,12 @@
 
 				if tc.first == "" && tc.run != nil {
 					assert.Equal(t, kindOf(got), fault.Cold, "one server cannot take over from itself")
+
+					f.agents[0].mu.Lock()
+					f.agents[0].boot = "boot-2"
+					f.agents[0].mu.Unlock()
+					time.Sleep(5 * time.Second)
+
 					got = f.start().do(t, "POST", "/press/orders", orderBody, "Idempotency-Key", "k")
 				}
 
@@ -163,7 +170,7 @@
 		e.do(t, "POST", "/v1/chat/completions", chatBody, "Cookie", "k="+secret, "X-Api-Key", secret)
 		e.do(t, "POST", "/v1/completions", `{"model":"quotes","prompt":"`+secret+`"}`)
 		e.do(t, "POST", "/v1/completions", `{"model":"quotes","prompt":"a","stop":"`+secret+`"}`)
-		e.do(t, "POST", "/press/orders?api_key="+secret+"&KEY="+secret, orderBody, "Accept", secret, "X-Key", secret)
+		e.do(t, "POST", "/press/orders?api_key="+secret+"&KEY="+secret, orderBody, "Accept", secret, "X-Key", "a", "Cookie", "b")
 		e.do(t, "POST", "/press/orders?note="+secret, orderBody)
 		e.do(t, "POST", "/press/"+secret, orderBody)
 		e.do(t, "POST", "/press/orders", secret, "Idempotency-Key", secret)
@@ -175,6 +182,13 @@
 		e.do(t, "GET", "/dates/may", "", "X-Timeout", secret)
 
 		assert.Assert(t, f.runs() >= 4, "%d", f.runs())
+
+		for _, request := range f.agents[0].requests {
+			for _, header := range request.GetCall().GetHeaders() {
+				assert.Assert(t, slices.Contains([]string{"Content-Type", "Accept", "Accept-Language"}, header.Name), header.Name)
+			}
+		}
+
 		assert.Assert(t, !bytes.Contains(f.network.sent.Bytes(), []byte(secret)), "on the wire")
 		assert.Assert(t, !bytes.Contains(logs.Bytes(), []byte(secret)), "in the logs")
 	})
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -38,6 +38,8 @@
 	headerBytes = 16 << 10
 	// drainDelay is how long the process is not ready before it refuses new work, so that load balancers notice first.
 	drainDelay = 2 * time.Second
+	// refuseTime is how long new work is refused with an explicit answer before connections are refused.
+	refuseTime = time.Second
 	// fixedControllers is the number of parts that every entry runs.
 	fixedControllers = 4
 )
@@ -235,6 +237,7 @@
 
 	s.Board.Draining.Set(true)
 	log.Info("new work is refused; running requests finish")
+	time.Sleep(refuseTime)
 
 	ctx := context.Background()
 
--- a/internal/entry/server/session_test.go
+++ b/internal/entry/server/session_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -147,6 +148,36 @@
 	})
 }
 
+// Guards against a client account that uses what it may not.
+func TestPermissions(t *testing.T) {
+	cases := map[string]struct {
+		method, path, body string
+		kind               fault.Kind
+	}{
+		"route":            {"POST", "/press/orders", orderBody, fault.Forbidden},
+		"adapter":          {"POST", "/v1/completions", `{"model":"private","prompt":"a"}`, fault.UnknownAdapter},
+		"method":           {"PUT", "/dates/may", "", fault.NotFound},
+		"path":             {"GET", "/dates/../press/orders", "", fault.InvalidRequest},
+		"path, escaped":    {"GET", "/dates/%2e%2e/press/orders", "", fault.InvalidRequest},
+		"allowed":          {"POST", "/v1/completions", `{"model":"quotes","prompt":"a"}`, ""},
+		"open to everyone": {"GET", "/dates/may", "", ""},
+	}
+
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1")
+		f.doc.Accounts["pistas"] = document.Account{Rate: 1, Burst: 1000, Routes: []string{"completion"}}
+		f.doc.Adapters["private"] = document.Adapter{Model: "base", Versions: []string{"1"}, Pin: "1", Accounts: []string{"trust"}}
+		e := f.start()
+
+		for name, tc := range cases {
+			got := e.do(t, tc.method, tc.path, tc.body)
+			assert.Equal(t, kindOf(got), tc.kind, "%s: %s", name, got.body)
+		}
+
+		assert.Equal(t, f.runs(), 2)
+	})
+}
+
 // Guards against keyed work under a configuration that is not confirmed, and against open routes that stop with it.
 func TestStaleConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -250,12 +281,14 @@
 		assert.Equal(t, e.do(t, "GET", "/readyz", "").status, 503)
 		assert.Equal(t, e.do(t, "POST", "/v1/chat/completions", chatBody).status, 200, "not ready comes before refusals")
 
-		time.Sleep(3 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, kindOf(e.do(t, "POST", "/v1/chat/completions", chatBody)), fault.Draining)
+		time.Sleep(2 * time.Second)
 
-		got, err := e.try(t.Context(), "POST", "/v1/chat/completions", chatBody)
-		assert.Assert(t, err != nil || kindOf(got) == fault.Draining)
+		_, err := e.try(t.Context(), "POST", "/v1/chat/completions", chatBody)
+		assert.Assert(t, err != nil)
 
-		got = <-running
+		got := <-running
 		assert.Assert(t, strings.HasSuffix(got.body, "data: [DONE]\n\n"), got.body)
 		assert.NilError(t, <-e.ended)
 	})
--- a/internal/order/claim/claim.go
+++ b/internal/order/claim/claim.go
@@ -23,7 +23,8 @@
 type Agents interface {
 	// Choose returns an agent process for the request, other than at the servers that were tried.
 	Choose(ctx context.Context, request relay.Request, tried []string) (relay.Target, error)
-	// DoAt sends the request to this agent process only. An error whose kind says "not run" is certain.
+	// DoAt sends the request to this agent process only, and does not end with the context once the request is written. An
+	// error whose kind says "not run" is certain.
 	DoAt(ctx context.Context, target relay.Target, request relay.Request) (relay.Result, error)
 	// Query returns the state of an attempt, and has it refused if asked to and it was never seen.
 	Query(ctx context.Context, target relay.Target, attempt string, refuse bool) (rpc.AttemptState, *rpc.Done, error)
@@ -173,11 +174,11 @@
 	return state, done
 }
 
-// dispatch sends the claimed attempt and stores its outcome. It does not end with the caller.
+// dispatch sends the claimed attempt and stores its outcome, whether or not the caller still waits.
 func (o *order) dispatch(ctx context.Context, target relay.Target) (relay.Result, error) {
 	o.tried = append(o.tried, target.Server)
 
-	result, err := o.claims.Agents.DoAt(context.WithoutCancel(ctx), target, o.request)
+	result, err := o.claims.Agents.DoAt(ctx, target, o.request)
 	result.Server = target.Server
 
 	if err == nil {
--- a/internal/order/claim/claim_test.go
+++ b/internal/order/claim/claim_test.go
@@ -57,6 +57,8 @@
 	runs   int
 	runsOf map[string]int
 	ended  chan struct{}
+	// slow is the time before a sent attempt arrives.
+	slow time.Duration
 }
 
 func (w *world) next() fate {
@@ -133,6 +135,8 @@
 func (w *world) DoAt(_ context.Context, target relay.Target, request relay.Request) (relay.Result, error) {
 	attempt := request.Work.(relay.Call).Attempt
 
+	time.Sleep(w.slow)
+
 	var done *rpc.Done
 
 	if !w.suffer(func() { done = w.attempt(target, attempt, request.ID) }) {
@@ -310,6 +314,27 @@
 	})
 }
 
+// Guards against two calls at the same moment that refuse each other's attempts.
+func TestTwoCallsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.slow = 100 * time.Millisecond
+		kinds := make(chan fault.Kind, 2)
+
+		for _, id := range []string{"1", "2"} {
+			go func() {
+				claims := &claim.Claims{Table: w, Agents: w}
+				_, err := claims.Do(t.Context(), "key", order(id, "plates"))
+				kinds <- kindOf(err)
+			}()
+		}
+
+		assert.Equal(t, <-kinds, fault.Kind(""))
+		assert.Equal(t, <-kinds, fault.Kind(""))
+		assert.Equal(t, w.runs, 1)
+	})
+}
+
 // Guards against double runs, differing outcomes and false "not run" under several faults, agent restarts and concurrent
 // calls through several entries.
 func TestOrdersRunAtMostOnce(t *testing.T) {
