Let a resident adapter's server queue a little

A server with the adapter resident is chosen while up to half its limit waits there, because a load costs more (TestSpillByResidencyAndLoad fails without it). The entry's own lifting of read deadlines is gone: net/http does it, and TestLongRequests passes without.

--- a/internal/entry/api/body.go
+++ b/internal/entry/api/body.go
@@ -32,17 +32,10 @@
 	case err != nil:
 		return nil, fault.Wrap(err, fault.InvalidRequest, "the request body could not be read")
 	default:
-		s.received()
 		return data, nil
 	}
 }
 
-// received ends the server's bound on the reading of a request, which would cancel a request that takes longer to serve.
-func (s *call) received() {
-	control := http.NewResponseController(s.echo.Response())
-	_ = control.SetReadDeadline(time.Time{})
-}
-
 func tooLarge(limit int64) error {
 	return fault.New(fault.TooLarge, "the request body exceeds %d bytes", limit)
 }
--- a/internal/entry/api/call.go
+++ b/internal/entry/api/call.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"net/http"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -54,10 +53,6 @@
 	c.Set(stateKey, state)
 	c.Response().Header().Set(headerRequest, state.id)
 
-	if c.Request().Body == http.NoBody {
-		state.received()
-	}
-
 	return state
 }
 
--- a/internal/entry/api/problem.go
+++ b/internal/entry/api/problem.go
@@ -58,7 +58,8 @@
 func handleError(err error, c echo.Context) {
 	found := fault.Of(translate(err))
 
-	if state, ok := c.Get(stateKey).(*call); ok {
+	state, ok := c.Get(stateKey).(*call)
+	if ok {
 		state.kind = found.Kind
 	}
 
@@ -66,12 +67,12 @@
 		return
 	}
 
-	if after := found.Retry(); after > 0 {
-		c.Response().Header().Set(headerRetry, retrySeconds(after))
+	if ok {
+		state.limitWrite()
 	}
 
-	if found.Kind == fault.Canceled {
-		c.Response().Status = fault.Canceled.Answer().Status
+	if after := found.Retry(); after > 0 {
+		c.Response().Header().Set(headerRetry, retrySeconds(after))
 	}
 
 	_ = c.JSON(found.Kind.Answer().Status, NewProblem(found))
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -132,7 +132,6 @@
 		Running:  int(load.Running),
 		Queued:   int(load.Queued),
 		Limit:    int(load.Limit),
-		Cold:     load.Cold,
 		Draining: load.Draining,
 		Epoch:    load.ResidentEpoch,
 		Resident: load.Resident,
--- a/internal/entry/relay/ticket.go
+++ b/internal/entry/relay/ticket.go
@@ -1,12 +1,16 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
+// mostTickets is the number of tickets from which on expired ones are dropped; VMs are replaced all the time.
+const mostTickets = 4096
+
 // ticket is the permission of an agent process to send it requests.
 type ticket struct {
 	id   string
@@ -43,6 +47,10 @@
 		t.byIP = map[string]ticket{}
 	}
 
+	if len(t.byIP) >= mostTickets {
+		maps.DeleteFunc(t.byIP, func(_ string, held ticket) bool { return now.After(held.expires) })
+	}
+
 	t.byIP[address] = ticket{
 		id:      from.Id,
 		boot:    boot,
--- a/internal/entry/server/entry_test.go
+++ b/internal/entry/server/entry_test.go
@@ -38,7 +38,9 @@
 	// stale stops the confirmation of the document.
 	stale   bool
 	debited int64
-	unused  []int64
+	// limited refuses debits; broken panics at them.
+	limited, broken bool
+	unused          []int64
 }
 
 func (f *fleet) List(context.Context) (vms.List, error) {
@@ -65,6 +67,15 @@
 func (f *fleet) Debit(_ context.Context, _ string, amount int64) (api.Charge, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+
+	if f.broken {
+		panic("broken limits")
+	}
+
+	if f.limited {
+		return nil, fault.New(fault.RateLimited, "the client account is above its rate").WithRetry(3200 * time.Millisecond)
+	}
+
 	f.debited += amount
 
 	return amount, nil
--- a/internal/entry/server/ready.go
+++ b/internal/entry/server/ready.go
@@ -22,6 +22,7 @@
 	defer ticker.Stop()
 
 	log := logrus.WithField("component", "server")
+	last := ""
 
 	for {
 		documents, listed := s.Board.Document.Changed(), s.members.View.Changed()
@@ -32,13 +33,18 @@
 			return
 		}
 
+		if names := strings.Join(waiting, ", "); names != last {
+			log.Infof("not ready: waiting for %s", names)
+			last = names
+		}
+
 		select {
 		case <-ctx.Done():
 			return
 		case <-documents:
 		case <-listed:
 		case <-ticker.C:
-			log.Infof("not ready: waiting for %s", strings.Join(waiting, ", "))
+			last = ""
 		}
 	}
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -30,7 +30,8 @@
 const (
 	// headerTime bounds the reading of request headers.
 	headerTime = 5 * time.Second
-	// readTime bounds the reading of a whole request, so that a slow caller does not hold memory for long.
+	// readTime bounds the reading of a whole request, so that a slow caller does not hold memory for long. It does not
+	// bound the time to serve the request: net/http lifts it once the body is read.
 	readTime = 10 * time.Second
 	// idleTime bounds how long an unused connection stays open.
 	idleTime = 2 * time.Minute
--- a/internal/route/pick/hint.go
+++ b/internal/route/pick/hint.go
@@ -6,12 +6,14 @@
 // a new report.
 const hintLife = 2 * time.Second
 
+// queueShare is the divisor that gives the part of a server's limit which may wait there for a resident adapter.
+const queueShare = 2
+
 // Load is what an agent reports about its backend server.
 type Load struct {
 	Running  int
 	Queued   int
 	Limit    int
-	Cold     bool
 	Draining bool
 	// Epoch numbers the changes of Resident.
 	Epoch int64
@@ -66,6 +68,12 @@
 	return !h.draining(now) && (!h.known(now) || h.requests() < h.load.Limit)
 }
 
+// shortQueue says that a request for a resident adapter waits a little at most, which costs less than loading the adapter at
+// another server.
+func (h *hint) shortQueue(now int64) bool {
+	return !h.draining(now) && (!h.known(now) || h.requests() < h.load.Limit+(h.load.Limit+1)/queueShare)
+}
+
 // share is the number of requests at the server divided by its limit.
 func (h *hint) share(now int64) float64 {
 	if !h.known(now) {
--- a/internal/route/pick/policy.go
+++ b/internal/route/pick/policy.go
@@ -10,7 +10,7 @@
 	policy()
 }
 
-// Spill takes the first ranked server that has the adapter resident and room, else the first with room, else the least
+// Spill takes the first ranked server that has the adapter resident and a short queue, else the first with room, else the least
 // loaded one. A hot adapter gets further candidates while all known ones are full.
 type Spill struct{}
 
@@ -63,7 +63,7 @@
 	}
 }
 
-// withRoom returns the first candidate with the adapter resident and room, or else the first with room.
+// withRoom returns the first candidate with the adapter resident and a short queue, or else the first with room.
 func withRoom(candidates []candidate, query Query) *candidate {
 	var first *candidate
 
@@ -71,7 +71,7 @@
 
 	for i := range candidates {
 		server := &candidates[i]
-		if !server.hint.room(now) || skip(server, query) {
+		if !server.hint.shortQueue(now) || skip(server, query) {
 			continue
 		}
 
@@ -79,7 +79,7 @@
 			return server
 		}
 
-		if first == nil {
+		if first == nil && server.hint.room(now) {
 			first = server
 		}
 	}
