Repeat a query for an attempt over another connection

A lost connection is often followed by others to the same agent, and one failed query made the outcome of an order unknown although the agent knew it. TestOrderWhoseConnectionIsLost fails with one query.

--- a/internal/entry/relay/contact.go
+++ b/internal/entry/relay/contact.go
@@ -19,7 +19,9 @@
 	cancelTime = 100 * time.Millisecond
 	// queryTimeout bounds one Query.
 	queryTimeout = time.Second
-	// queryInterval is the time between two queries for an attempt that is still running.
+	// mostQueries bounds the queries over lost connections.
+	mostQueries = 3
+	// queryInterval is the time between two queries for an attempt.
 	queryInterval = 200 * time.Millisecond
 )
 
@@ -159,15 +161,22 @@
 	return final{fault.Wrap(cause, fault.OutcomeUnknown, "the answer was lost after the call had been sent")}
 }
 
-// Query asks one agent process for the state of an attempt, and to refuse it if it was never seen. An answer of another
+// Query asks one agent process for the state of an attempt, and to refuse it if it was never seen. It is repeated over
+// another connection if one is lost, because idle connections to an agent often break together. An answer of another
 // process says nothing and yields ATTEMPT_UNKNOWN.
 func (r *Relay) Query(ctx context.Context, target Target, attempt string, refuse bool) (rpc.AttemptState, *rpc.Done, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
-
 	request := &rpc.QueryRequest{RequestId: ident.New("query"), Attempt: attempt, Boot: target.Boot, Refuse: refuse}
 
-	reply, err := r.client(target.Address).Query(ctx, request)
+	reply, err := r.query(ctx, target, request)
+
+	for range mostQueries - 1 {
+		if err == nil || !pause(ctx, queryInterval) {
+			break
+		}
+
+		reply, err = r.query(ctx, target, request)
+	}
+
 	if err != nil {
 		return rpc.AttemptState_ATTEMPT_UNKNOWN, nil, errors.Wrapf(err, "query %s", target.Server)
 	}
@@ -178,3 +187,23 @@
 
 	return reply.State, reply.Done, nil
 }
+
+func (r *Relay) query(ctx context.Context, target Target, request *rpc.QueryRequest) (*rpc.QueryReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+
+	return r.client(target.Address).Query(ctx, request)
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/entry/server/agent_test.go
+++ b/internal/entry/server/agent_test.go
@@ -138,9 +138,11 @@
 	hellos   int
 	requests []*rpc.RunRequest
 	cancels  int
-	attempts map[string]*rpc.Done
-	refused  map[string]bool
-	listener *pipeListener
+	// cutQueries is the number of queries whose connection breaks.
+	cutQueries int
+	attempts   map[string]*rpc.Done
+	refused    map[string]bool
+	listener   *pipeListener
 }
 
 func (a *agent) serve(ctx context.Context, n *network, address string) {
@@ -180,6 +182,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	if a.cutQueries > 0 {
+		a.cutQueries--
+		a.listener.cutConns()
+
+		return nil, errors.New("cut")
+	}
+
 	reply := &rpc.QueryReply{RequestId: in.RequestId, Boot: a.boot, State: rpc.AttemptState_ATTEMPT_UNKNOWN}
 	done, seen := a.attempts[in.Attempt]
 
--- a/internal/entry/server/order_test.go
+++ b/internal/entry/server/order_test.go
@@ -36,6 +36,14 @@
 
 			return nil
 		}, "", 1},
+		"after it was done, with the query": {func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+			a.begin(request)
+			a.complete(request.GetCall())
+			a.listener.cutConns()
+			a.cutQueries = 2
+
+			return nil
+		}, "", 1},
 		"while it ran": {func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
 			a.begin(request)
 			a.listener.cutConns()
