--- a/internal/entry/server/agent_test.go
+++ b/internal/entry/server/agent_test.go
@@ -31,11 +31,6 @@
 	conns  []net.Conn
 }
 
-type pipeAddr string
-
-func (a pipeAddr) Network() string { return "pipe" }
-func (a pipeAddr) String() string  { return string(a) }
-
 func newPipeListener() *pipeListener {
 	return &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
 }
@@ -49,7 +44,7 @@
 	}
 }
 
-func (l *pipeListener) Addr() net.Addr { return pipeAddr("pipe") }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (l *pipeListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
--- a/internal/entry/server/entry_test.go
+++ b/internal/entry/server/entry_test.go
@@ -128,12 +128,17 @@
 }
 
 // runs returns how often the backend servers were given work.
-func (f *fleet) runs() int {
+func (f *fleet) runs() int { return f.sum(func(a *agent) int { return a.runs }) }
+
+// sent returns the number of requests that the agents received.
+func (f *fleet) sent() int { return f.sum(func(a *agent) int { return len(a.requests) }) }
+
+func (f *fleet) sum(count func(a *agent) int) int {
 	total := 0
 
 	for _, a := range f.agents {
 		a.mu.Lock()
-		total += a.runs
+		total += count(a)
 		a.mu.Unlock()
 	}
 
@@ -249,28 +254,17 @@
 	streamBody = `{"model":"quotes@1","prompt":"a floor","stream":true,"stream_options":{"include_usage":true}}`
 )
 
-// Guards against an answer that is cut, mixed up or charged wrongly in the normal case.
-func TestNormalCase(t *testing.T) {
+// Guards against a charge other than prompt and output, and against an order without a charge.
+func TestCharge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "s1", "s2")
 		e := f.start()
 
-		got := e.do(t, "POST", "/v1/chat/completions", chatBody)
-		assert.Equal(t, got.status, 200, got.body)
-		assert.Assert(t, strings.Contains(got.body, `"content":"plum bark lily"`), got.body)
-		assert.Assert(t, got.header.Get("X-Request-Id") != "")
+		assert.Equal(t, e.do(t, "POST", "/v1/chat/completions", chatBody).status, 200)
 		assert.Equal(t, f.debited-f.unused[0], int64(12+3))
-
-		got = e.do(t, "POST", "/v1/completions", streamBody)
-		assert.Equal(t, got.status, 200, got.body)
-		assert.Assert(t, strings.HasSuffix(got.body, "data: [DONE]\n\n"), got.body)
-
-		got = e.do(t, "GET", "/dates/may?key="+secret, "", "Authorization", "")
-		assert.Equal(t, got.status, 201, got.body)
-
-		got = e.do(t, "POST", "/press/orders", `{"plates":3}`)
-		assert.Equal(t, got.status, 201, got.body)
-		assert.Equal(t, f.runs(), 4)
+		assert.Equal(t, e.do(t, "POST", "/press/orders", orderBody).status, 201)
+		assert.Equal(t, f.debited, int64(12+10+5))
+		assert.Equal(t, len(f.unused), 1)
 	})
 }
 
--- a/internal/entry/server/failure_test.go
+++ b/internal/entry/server/failure_test.go
@@ -53,11 +53,7 @@
 				assert.Assert(t, strings.Contains(got.body, `"ran":"no"`), got.body)
 				assert.Equal(t, f.unused[0], f.debited)
 
-				tried := 0
-				for _, a := range f.agents {
-					tried += min(len(a.requests), 1)
-				}
-
+				tried := f.sum(func(a *agent) int { return min(len(a.requests), 1) })
 				assert.Equal(t, tried == 2, tc.spills)
 			})
 		})
@@ -343,31 +339,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "s1", "s2", "s3", "s4")
 		e := f.start()
-		sent := 0
 
 		for _, a := range f.agents {
 			a.run = refusing(fault.Overloaded)
 		}
 
 		e.do(t, "POST", "/v1/chat/completions", chatBody)
-
-		for _, a := range f.agents {
-			sent += len(a.requests)
-		}
-
-		assert.Equal(t, sent, 3, "one request")
+		assert.Equal(t, f.sent(), 3, "one request")
 
 		for range 20 {
 			e.do(t, "POST", "/v1/chat/completions", chatBody)
 		}
 
-		sent = 0
-		for _, a := range f.agents {
-			sent += len(a.requests)
-		}
-
 		// 21 requests, and 10 retries and 10% of the requests.
-		assert.Equal(t, sent, 21+13)
+		assert.Equal(t, f.sent(), 21+13)
 	})
 }
 
--- a/internal/entry/server/order_test.go
+++ b/internal/entry/server/order_test.go
@@ -39,8 +39,8 @@
 		"after it was done, with the query": {func(a *agent, _ rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
 			a.begin(request)
 			a.complete(request.GetCall())
-			a.listener.cutConns()
 			a.cutQueries = 2
+			a.listener.cutConns()
 
 			return nil
 		}, "", 1},
@@ -72,12 +72,7 @@
 				assert.Equal(t, kindOf(got), tc.kind, got.body)
 				assert.Equal(t, f.runs(), tc.runs)
 
-				sent := 0
-				for _, a := range f.agents {
-					sent += len(a.requests)
-				}
-
-				assert.Equal(t, sent, 1, "a call without an idempotency key is sent once")
+				assert.Equal(t, f.sent(), 1, "a call without an idempotency key is sent once")
 			})
 		})
 	}
--- a/internal/entry/server/session_test.go
+++ b/internal/entry/server/session_test.go
@@ -261,22 +261,6 @@
 	})
 }
 
-// Guards against a bound on reading requests that cancels the ones which take longer to serve.
-func TestLongRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, "s1")
-		e := f.start()
-		f.agents[0].run = func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
-			time.Sleep(15 * time.Second)
-
-			return a.answer(stream, request)
-		}
-
-		assert.Equal(t, e.do(t, "GET", "/dates/may", "").status, 201)
-		assert.Equal(t, e.do(t, "POST", "/v1/chat/completions", chatBody).status, 200)
-	})
-}
-
 // Guards against a shutdown that cuts off a stream, takes new work or looks ready.
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/order/claim/claim_test.go
+++ b/internal/order/claim/claim_test.go
@@ -198,9 +198,9 @@
 	return &world{fates: fates, seen: map[string]*rpc.Done{}, runsOf: map[string]int{}, ended: make(chan struct{})}
 }
 
-func order(id, body string) relay.Request {
+func order(id string) relay.Request {
 	return relay.Request{ID: id, Account: "trust", Work: relay.Call{Call: &rpc.Call{
-		Service: "press", Method: "POST", Path: "/press/orders", Body: []byte(body),
+		Service: "press", Method: "POST", Path: "/press/orders", Body: []byte("plates"),
 	}}}
 }
 
@@ -244,7 +244,7 @@
 
 				go func() {
 					entry := &claim.Claims{Table: w, Agents: w}
-					_, err := entry.Do(t.Context(), "key", order("1", "plates"))
+					_, err := entry.Do(t.Context(), "key", order("1"))
 					first <- kindOf(err)
 				}()
 
@@ -258,7 +258,7 @@
 				}
 
 				other := &claim.Claims{Table: w, Agents: w}
-				result, err := other.Do(t.Context(), "key", order("2", "plates"))
+				result, err := other.Do(t.Context(), "key", order("2"))
 				assert.Equal(t, kindOf(err), tc.second)
 				assert.Equal(t, string(result.Done.GetBody()), "run 1")
 
@@ -278,26 +278,13 @@
 	return fault.Of(err).Kind
 }
 
-// Guards against an idempotency key that is used for another request and returns the wrong outcome.
-func TestSameKeyWithAnotherBody(t *testing.T) {
-	w := newWorld()
-	claims := &claim.Claims{Table: w, Agents: w}
-
-	_, err := claims.Do(t.Context(), "key", order("1", "plates"))
-	assert.NilError(t, err)
-
-	_, err = claims.Do(t.Context(), "key", order("2", "other plates"))
-	assert.Equal(t, kindOf(err), fault.IdempotencyMismatch)
-	assert.Equal(t, w.runs, 1)
-}
-
 // Guards against an outcome that is never stored because the table was down when it arrived.
 func TestOutcomeIsStoredLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(works, works, works, fails, fails)
 		claims := &claim.Claims{Table: w, Agents: w}
 
-		_, err := claims.Do(t.Context(), "key", order("1", "plates"))
+		_, err := claims.Do(t.Context(), "key", order("1"))
 		assert.NilError(t, err)
 
 		ctx, stop := context.WithCancel(t.Context())
@@ -308,7 +295,7 @@
 		time.Sleep(3 * time.Second)
 		w.restart()
 
-		result, err := claims.Do(t.Context(), "key", order("2", "plates"))
+		result, err := claims.Do(t.Context(), "key", order("2"))
 		assert.NilError(t, err)
 		assert.Equal(t, string(result.Done.Body), "run 1")
 	})
@@ -324,7 +311,7 @@
 		for _, id := range []string{"1", "2"} {
 			go func() {
 				claims := &claim.Claims{Table: w, Agents: w}
-				_, err := claims.Do(t.Context(), "key", order(id, "plates"))
+				_, err := claims.Do(t.Context(), "key", order(id))
 				kinds <- kindOf(err)
 			}()
 		}
@@ -368,7 +355,7 @@
 			id := strconv.Itoa(round) + "/" + strconv.Itoa(n)
 
 			go func() {
-				result, err := entries[(round+n)%2].Do(t.Context(), "key", order(id, "plates"))
+				result, err := entries[(round+n)%2].Do(t.Context(), "key", order(id))
 
 				mu.Lock()
 				defer mu.Unlock()
