Test the relay and orders under random faults

It fails with any of these switched off: the rule that an earlier attempt may have run, its marking on a cut or failed sending, the rule that orders are not repeated, the dropping of repeated chunks, and the error event.

--- /dev/null
+++ b/internal/entry/server/random_test.go
@@ -0,0 +1,104 @@
+package server_test
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
+)
+
+// TestMain fixes the seed, so that runs repeat; a flag -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+
+	flag.Parse()
+	m.Run()
+}
+
+// faults are what may happen to one sending.
+var faults = []script{
+	(*agent).answer,
+	refusing(fault.Overloaded),
+	refusing(fault.TicketExpired),
+	refusing(fault.InvalidRequest),
+	func(a *agent, _ rpc.DRPCAgent_RunStream, _ *rpc.RunRequest) error {
+		a.listener.cutConns()
+		return nil
+	},
+	cutAfter(0),
+	func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+		if request.GetCall() != nil {
+			return a.answer(stream, request)
+		}
+
+		return cutAfter(1)(a, stream, request)
+	},
+	func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+		a.begin(request)
+		return a.send(stream, request, &rpc.RunDown{Body: &rpc.RunDown_Failed{Failed: &rpc.Failed{Kind: "backend_failed"}}})
+	},
+}
+
+// Guards against answers that are neither whole nor an error, false "not run" and orders that run twice, whatever a
+// sequence of sendings suffers.
+func TestAnyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		drawn := rapid.SliceOfN(rapid.IntRange(0, len(faults)-1), 0, 12).Draw(rt, "faults")
+
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, "s1", "s2", "s3")
+			e := f.start()
+
+			for _, a := range f.agents {
+				a.run = func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+					next := faults[0]
+
+					f.mu.Lock()
+					if len(drawn) > 0 {
+						next, drawn = faults[drawn[0]], drawn[1:]
+					}
+					f.mu.Unlock()
+
+					return next(a, stream, request)
+				}
+			}
+
+			for _, key := range []string{"k1", "k2"} {
+				f.checkOne(e, "/v1/completions", streamBody, key, "[DONE]")
+				f.checkOne(e, "/v1/chat/completions", chatBody, key, `"content":"plum bark lily"`)
+				f.checkOne(e, "/press/orders", orderBody, key, `{"order":`)
+				f.checkOne(e, "/press/orders", orderBody, "", `{"order":`)
+			}
+		})
+	})
+}
+
+func (f *fleet) checkOne(e *entry, path, body, key, whole string) {
+	f.t.Helper()
+
+	before := f.runs()
+	got := e.do(f.t, "POST", path, body, "Idempotency-Key", key)
+	ran := f.runs() - before
+
+	assert.Equal(f.t, strings.Contains(got.body, whole), kindOf(got) == "", got.body)
+
+	if strings.Contains(got.body, `"ran":"no"`) {
+		assert.Equal(f.t, ran, 0, got.body)
+	}
+
+	if path == "/press/orders" {
+		assert.Assert(f.t, ran <= 1, "%d runs: %s", ran, got.body)
+	}
+
+	if kindOf(got) == "" && path == "/v1/completions" {
+		assert.Equal(f.t, streamText(got.body), "plum bark lily")
+	}
+}
