Weigh backend servers by their configured capacity

The weight is the server's concurrency limit, with exceptions, relative to the fleet's default. TestMerge fails without it. The entry's policy can be set, for measurements.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -71,6 +71,8 @@
 	// HTTP and Peer are the listeners; nil listens on the addresses in the settings.
 	HTTP net.Listener
 	Peer net.Listener
+	// Policy chooses backend servers; nil means pick.Spill.
+	Policy pick.Policy
 	// Dial opens connections to agents; nil dials TCP.
 	Dial conn.Dialer
 
@@ -199,7 +201,7 @@
 		Entry:  s.Settings.Place.VM,
 		Pool:   pool,
 		View:   &s.members.View,
-		Picker: &pick.Picker{Domain: s.Settings.Place.Domain, Region: s.Settings.Place.Region},
+		Picker: &pick.Picker{Policy: s.Policy, Domain: s.Settings.Place.Domain, Region: s.Settings.Place.Region},
 		Budget: &retry.Budget{},
 	}
 }
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -29,9 +29,11 @@
 		vm     vms.VM
 		domain document.Domain
 		state  document.VM
+		limit  int
 		weight float64
 	}{
 		"usable":              {vm: agent("s1", "a"), weight: 1},
+		"twice the capacity":  {vm: agent("s1", "a"), limit: 16, weight: 2},
 		"entry":               {vm: vms.VM{Name: "e", Role: vms.RoleEntry}},
 		"leaving":             {vm: leaving},
 		"domain out":          {vm: agent("s1", "a"), domain: document.Domain{Out: true}},
@@ -50,6 +52,13 @@
 				VMs:     map[string]document.VM{"vm-s1": tc.state},
 			}
 
+			if tc.limit > 0 {
+				doc.Default.Limit = 8
+				doc.Exceptions = map[string]document.Exception{
+					"big": {Scope: document.ScopeServer, Target: "s1", Set: document.Patch{Limit: &tc.limit}},
+				}
+			}
+
 			servers := member.Merge(vms.List{VMs: []vms.VM{tc.vm}}, doc, &member.Contacts{}, now)
 
 			if tc.weight == 0 {
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -28,7 +28,7 @@
 	Region  string
 	// Serves lists "model/<name>" and "service/<name>".
 	Serves []string
-	// Weight is above 0 and at most 1; it is below 1 while the server returns to service.
+	// Weight is above 0: the capacity relative to the fleet's default, reduced while the server returns to service.
 	Weight float64
 	// Contact is shared by every view that lists the server at this address.
 	Contact *Contact
@@ -129,7 +129,18 @@
 		return 0
 	}
 
-	return min(returning(domain.Since, now), returning(state.Since, now))
+	return capacity(vm, doc) * min(returning(domain.Since, now), returning(state.Since, now))
+}
+
+// capacity is the configured concurrency limit of the server relative to the default. It comes from the document and not
+// from load reports, so that all entries rank alike.
+func capacity(vm vms.VM, doc *document.Document) float64 {
+	limit := doc.Resolve(document.Query{Domain: vm.Domain, Server: vm.Server}).Limit
+	if limit < 1 || doc.Default.Limit < 1 {
+		return 1
+	}
+
+	return float64(limit) / float64(doc.Default.Limit)
 }
 
 // returning grows in steps from 1/returnSteps to 1 during returnTime after since. Since was set by another clock, so a
