--- a/internal/route/pick/hint.go
+++ b/internal/route/pick/hint.go
@@ -22,30 +22,34 @@
 	Sent     bool
 }
 
-// hint is what is known about one backend server from its last answers. It is guarded by the Picker's mutex.
+// hint is what is known about one backend server from its last answers. It is guarded by the Picker's mutex, and small,
+// because a choice among busy servers reads many of them.
 type hint struct {
-	load     Load
-	resident map[string]struct{}
 	// until is when the load report lapses, in Unix nanoseconds.
 	until int64
-	// sent counts requests given to the server since the last report.
-	sent int
+	// requests is the number of requests at the server: those reported, and those given to it since.
+	requests int
+	limit    int
+	drains   bool
+	resident map[string]struct{}
+	// epoch is that of resident.
+	epoch int64
 }
 
 func (h *hint) report(load Load, now time.Time) {
 	if load.Sent {
+		h.epoch = load.Epoch
 		h.resident = make(map[string]struct{}, len(load.Resident))
+
 		for _, name := range load.Resident {
 			h.resident[name] = struct{}{}
 		}
-	} else {
-		load.Epoch = h.load.Epoch
 	}
 
-	load.Resident = nil
-	h.load = load
 	h.until = now.Add(hintLife).UnixNano()
-	h.sent = 0
+	h.requests = load.Running + load.Queued
+	h.limit = load.Limit
+	h.drains = load.Draining
 }
 
 func (h *hint) has(adapter string) bool {
@@ -55,23 +59,18 @@
 
 // known reports whether there is a load report that counts.
 func (h *hint) known(now int64) bool {
-	return now < h.until && h.load.Limit > 0
-}
-
-// requests is the number of requests at the server.
-func (h *hint) requests() int {
-	return h.load.Running + h.load.Queued + h.sent
+	return now < h.until && h.limit > 0
 }
 
 // room says that the server can take a request without a long wait.
 func (h *hint) room(now int64) bool {
-	return !h.draining(now) && (!h.known(now) || h.requests() < h.load.Limit)
+	return !h.draining(now) && (!h.known(now) || h.requests < h.limit)
 }
 
 // shortQueue says that a request for a resident adapter waits a little at most, which costs less than loading the adapter at
 // another server.
 func (h *hint) shortQueue(now int64) bool {
-	return !h.draining(now) && (!h.known(now) || h.requests() < h.load.Limit+(h.load.Limit+1)/queueShare)
+	return !h.draining(now) && (!h.known(now) || h.requests < h.limit+(h.limit+1)/queueShare)
 }
 
 // share is the number of requests at the server divided by its limit.
@@ -80,9 +79,9 @@
 		return 0
 	}
 
-	return float64(h.requests()) / float64(h.load.Limit)
+	return float64(h.requests) / float64(h.limit)
 }
 
 func (h *hint) draining(now int64) bool {
-	return now < h.until && h.load.Draining
+	return now < h.until && h.drains
 }
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -71,7 +71,7 @@
 		invariant.Check(false, "pick.tried", "server %s was tried before", server.Name)
 	}
 
-	server.hint.sent++
+	server.hint.requests++
 
 	return server.Server
 }
@@ -89,7 +89,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return p.hint(server).load.Epoch
+	return p.hint(server).epoch
 }
 
 // see discards rankings of an older view and hints of servers that are gone.
--- a/internal/route/pick/policy.go
+++ b/internal/route/pick/policy.go
@@ -87,20 +87,37 @@
 	return first
 }
 
-// least returns the least loaded server. Draining servers and those that are set aside come last, but are not excluded,
-// because what is known of them may be out of date.
+// The penalties rank servers that are draining or set aside behind all others. They are not excluded, because what is known
+// of them may be out of date.
+const (
+	drainingPenalty = 1e6
+	asidePenalty    = 1e9
+)
+
+// least returns the least loaded server, with penalties.
 func (p *Picker) least(servers []candidate, query Query) *candidate {
 	var best *candidate
 
 	var lowest float64
 
+	now := query.Now.UnixNano()
+
 	for i := range servers {
 		server := &servers[i]
-		if slices.Contains(query.Tried, server.Name) {
+		load := server.hint.share(now)
+
+		if server.hint.draining(now) {
+			load += drainingPenalty
+		}
+
+		// Most servers end here, before their contact is read.
+		if best != nil && load > lowest || slices.Contains(query.Tried, server.Name) {
 			continue
 		}
 
-		load := penalty(server, query)
+		if server.Contact.Aside(query.Now) {
+			load += asidePenalty
+		}
 
 		if best == nil || load < lowest || (load == lowest && p.distance(server) < p.distance(best)) {
 			best, lowest = server, load
@@ -110,23 +127,6 @@
 	return best
 }
 
-func penalty(server *candidate, query Query) float64 {
-	const drainingPenalty, asidePenalty = 1e6, 1e9
-
-	now := query.Now.UnixNano()
-	load := server.hint.share(now)
-
-	if server.hint.draining(now) {
-		load += drainingPenalty
-	}
-
-	if server.Contact.Aside(query.Now) {
-		load += asidePenalty
-	}
-
-	return load
-}
-
 // distance is 0 in this process's failure domain, 1 in its region, and 2 elsewhere.
 func (p *Picker) distance(server *candidate) int {
 	switch {
