--- a/internal/entry/server/agent_test.go
+++ b/internal/entry/server/agent_test.go
@@ -31,11 +31,6 @@
 	conns  []net.Conn
 }
 
-type pipeAddr string
-
-func (a pipeAddr) Network() string { return "pipe" }
-func (a pipeAddr) String() string  { return string(a) }
-
 func newPipeListener() *pipeListener {
 	return &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
 }
@@ -49,7 +44,7 @@
 	}
 }
 
-func (l *pipeListener) Addr() net.Addr { return pipeAddr("pipe") }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (l *pipeListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
@@ -138,9 +133,11 @@
 	hellos   int
 	requests []*rpc.RunRequest
 	cancels  int
-	attempts map[string]*rpc.Done
-	refused  map[string]bool
-	listener *pipeListener
+	// cutQueries is the number of queries whose connection breaks.
+	cutQueries int
+	attempts   map[string]*rpc.Done
+	refused    map[string]bool
+	listener   *pipeListener
 }
 
 func (a *agent) serve(ctx context.Context, n *network, address string) {
@@ -180,11 +177,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	if a.cutQueries > 0 {
+		a.cutQueries--
+		a.listener.cutConns()
+
+		return nil, errors.New("cut")
+	}
+
 	reply := &rpc.QueryReply{RequestId: in.RequestId, Boot: a.boot, State: rpc.AttemptState_ATTEMPT_UNKNOWN}
 	done, seen := a.attempts[in.Attempt]
 
 	switch {
 	case in.Boot != a.boot:
+		// A process that has just started has seen nothing.
+		reply.State = rpc.AttemptState_ATTEMPT_REFUSED
 	case done != nil:
 		reply.State, reply.Done = rpc.AttemptState_ATTEMPT_DONE, done
 	case seen:
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -30,7 +30,8 @@
 const (
 	// headerTime bounds the reading of request headers.
 	headerTime = 5 * time.Second
-	// readTime bounds the reading of a whole request, so that a slow caller does not hold memory for long.
+	// readTime bounds the reading of a whole request, so that a slow caller does not hold memory for long. It does not
+	// bound the time to serve the request: net/http lifts it once the body is read.
 	readTime = 10 * time.Second
 	// idleTime bounds how long an unused connection stays open.
 	idleTime = 2 * time.Minute
@@ -38,6 +39,8 @@
 	headerBytes = 16 << 10
 	// drainDelay is how long the process is not ready before it refuses new work, so that load balancers notice first.
 	drainDelay = 2 * time.Second
+	// refuseTime is how long new work is refused with an explicit answer before connections are refused.
+	refuseTime = time.Second
 	// fixedControllers is the number of parts that every entry runs.
 	fixedControllers = 4
 )
@@ -68,6 +71,8 @@
 	// HTTP and Peer are the listeners; nil listens on the addresses in the settings.
 	HTTP net.Listener
 	Peer net.Listener
+	// Policy chooses backend servers; nil means pick.Spill.
+	Policy pick.Policy
 	// Dial opens connections to agents; nil dials TCP.
 	Dial conn.Dialer
 
@@ -196,7 +201,7 @@
 		Entry:  s.Settings.Place.VM,
 		Pool:   pool,
 		View:   &s.members.View,
-		Picker: &pick.Picker{Domain: s.Settings.Place.Domain, Region: s.Settings.Place.Region},
+		Picker: &pick.Picker{Policy: s.Policy, Domain: s.Settings.Place.Domain, Region: s.Settings.Place.Region},
 		Budget: &retry.Budget{},
 	}
 }
@@ -235,6 +240,7 @@
 
 	s.Board.Draining.Set(true)
 	log.Info("new work is refused; running requests finish")
+	time.Sleep(refuseTime)
 
 	ctx := context.Background()
 
