--- a/internal/agent/server/check.go
+++ b/internal/agent/server/check.go
@@ -172,7 +172,7 @@
 		return
 	}
 
-	s.Source.Confirm(a.request.ConfigVersion, time.Since(a.confirmed))
+	s.Source.Confirm(a.request.ConfigVersion, a.confirmed)
 }
 
 func (s *Server) version() int64 {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -55,8 +55,8 @@
 type Source interface {
 	// CatchUp returns when the board holds the version or a higher one, or with an error.
 	CatchUp(ctx context.Context, version int64) error
-	// Confirm tells that an entry confirmed the version at least as lately as the age says.
-	Confirm(version int64, age time.Duration)
+	// Confirm tells that an entry confirmed the version at a moment on this process's clock.
+	Confirm(version int64, at time.Time)
 }
 
 // Server is an agent process. Its exported fields are set before Run.
--- a/internal/program/compose/agent.go
+++ b/internal/program/compose/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	agent "github.com/chestnutbeam/chestnutbeam/internal/agent/server"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
@@ -29,7 +28,7 @@
 	debits := &ledger.Ledger{Board: shared, Pool: pool, Stale: shares.Poke}
 
 	server.Table = platform.Table
-	server.Source = source{follower}
+	server.Source = follower
 	server.Budget = &ledger.Budget{Ledger: debits}
 	server.Background = background(follower, shares)
 }
@@ -50,12 +49,3 @@
 		group.Wait()
 	}
 }
-
-type source struct {
-	*follow.Follower
-}
-
-// Confirm implements agent.Source.
-func (s source) Confirm(version int64, at time.Time) {
-	s.Follower.Confirm(version, time.Since(at))
-}
