Test limits through faults and compare with a static split

Cause: the envelope has to hold through kills, successors, freezes, lost replies, table outages, drains and changes of rate, in any combination.

Change: randomised runs over several entries in virtual time check every window of a log of admissions; refusals are counted against one ideal bucket and printed beside a static split per entry. Focused tests of holder and assignment. Drain no longer holds the lock between tries; a frozen test entry and the controllers draw from fixed seeds. The number of remembered debits is a setting of the holder.

--- a/internal/limit/assign/assign.go
+++ b/internal/limit/assign/assign.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -47,6 +48,8 @@
 
 	once sync.Once
 	wake chan struct{}
+	// random spreads the polls of several processes; only Run uses it.
+	random *rand.Rand
 	// mu serves one cycle at a time, so that Drain does not run beside a poll.
 	mu      sync.Mutex
 	drained bool
@@ -129,7 +132,10 @@
 }
 
 func (a *Assign) init() {
-	a.once.Do(func() { a.wake = make(chan struct{}, 1) })
+	a.once.Do(func() {
+		a.wake = make(chan struct{}, 1)
+		a.random = rand.New(rand.NewPCG(xxhash.Sum64String(a.Self.Boot), 0))
+	})
 }
 
 func (a *Assign) interval() time.Duration {
@@ -138,7 +144,7 @@
 		interval = agentInterval
 	}
 
-	return interval*3/4 + time.Duration(rand.Int64N(int64(interval/2)))
+	return interval*3/4 + time.Duration(a.random.Int64N(int64(interval/2)))
 }
 
 func (a *Assign) log() *logrus.Entry {
--- a/internal/limit/assign/drain.go
+++ b/internal/limit/assign/drain.go
@@ -23,11 +23,6 @@
 
 	a.Holder.Stop()
 
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	a.drained = true
-
 	for {
 		err := a.release(ctx)
 		if err == nil {
@@ -44,6 +39,11 @@
 
 // release tries to give every share of this process away once. Conflicts are tried again like errors.
 func (a *Assign) release(ctx context.Context) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.drained = true
+
 	rows, err := a.read(ctx)
 	if err != nil {
 		return err
--- a/internal/limit/holder/holder.go
+++ b/internal/limit/holder/holder.go
@@ -24,6 +24,8 @@
 	Board *board.Board
 	// Boot is the boot id of this process.
 	Boot string
+	// Records bounds the debits that are remembered for repetitions and refunds; 0 means 262144.
+	Records int
 
 	mu     sync.Mutex
 	shares map[string]*share
--- a/internal/limit/holder/records.go
+++ b/internal/limit/holder/records.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// recordLimit bounds the debits remembered; a record takes about 250 bytes with its index entry.
-	recordLimit = 1 << 18
+	// defaultRecords bounds the debits remembered; a record takes about 250 bytes with its index entry.
+	defaultRecords = 1 << 18
 	// recordAge is longer than any request runs; a refund that comes later credits nothing.
 	recordAge = 10 * time.Minute
 )
@@ -37,13 +37,13 @@
 	return r.byID[id]
 }
 
-// add stores a record, and drops old ones for it.
-func (r *records) add(entry *record) {
+// add stores a record, and drops old ones to keep the number at or below the limit.
+func (r *records) add(entry *record, limit int) {
 	if r.byID == nil {
 		r.byID = map[string]*record{}
 	}
 
-	for len(r.queue) > 0 && (len(r.queue) >= recordLimit || entry.at.Sub(r.queue[0].at) > recordAge) {
+	for len(r.queue) > 0 && (len(r.queue) >= limit || entry.at.Sub(r.queue[0].at) > recordAge) {
 		r.drop(r.queue[0])
 		r.queue = r.queue[1:]
 	}
--- a/internal/limit/holder/share.go
+++ b/internal/limit/holder/share.go
@@ -166,16 +166,24 @@
 	}
 
 	entry := &record{id: id, share: held, mark: mark, taken: taken / bucket.Micro, at: now}
-	h.records.add(entry)
+	h.records.add(entry, h.limit())
 
 	return entry.taken
 }
 
+func (h *Holder) limit() int {
+	if h.Records > 0 {
+		return h.Records
+	}
+
+	return defaultRecords
+}
+
 func (h *Holder) refund(held *share, now time.Time, id string, amount int64) int64 {
 	known := h.records.find(id)
 	if known == nil {
 		// The refund of a debit that the requester gave up on can overtake it; the debit must then take nothing.
-		h.records.add(&record{id: id, share: held, refunded: true, at: now})
+		h.records.add(&record{id: id, share: held, refunded: true, at: now}, h.limit())
 		return 0
 	}
 
--- a/internal/limit/ledger/ledger.go
+++ b/internal/limit/ledger/ledger.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// Wait returns when all refunds have been sent or given up.
+// Wait returns when all refunds have been sent or given up. It is called after the last Debit and Refund.
 func (l *Ledger) Wait() {
 	l.returns.Wait()
 }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"os"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,13 @@
 
 func TestMain(m *testing.M) {
 	logrus.SetLevel(logrus.ErrorLevel)
+
+	// Each of the randomised runs here lasts minutes of virtual time.
+	if err := flag.Set("rapid.checks", "15"); err != nil {
+		panic(err)
+	}
+
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
