Read lists again only when they have changed

The client sends the entity tag back and allows gzip; a platform without either sends the whole list as before. Each change also writes the row limits/head, which a poll reads first. All rows are read after a change, after a hint that a row is out of date, and every 5 minutes. The entries that can become holders are found once in a poll, not once for each account.

--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -24,6 +25,9 @@
 	AgentPeriod = 2 * time.Second
 	// MaxAge is the age of the last confirmation beyond which a process refuses keyed work.
 	MaxAge = 5 * time.Second
+	// tableRecent is the age of the table's last confirmation from which on peers of all failure domains are called. It is
+	// above the longest time between two polls of an entry, and leaves time for a round of calls before MaxAge.
+	tableRecent = 2 * time.Second
 	// jitter spreads the polls of the fleet over time.
 	jitter = 0.2
 	// callTimeout bounds a read of the head and a call to a peer, so that several fit into MaxAge.
@@ -89,7 +93,11 @@
 	// announce makes Run call every listed entry now.
 	announce    chan struct{}
 	snapshotted int64
-	once        sync.Once
+	// entries is made from the VM list when it is needed.
+	entries atomic.Pointer[listed]
+	// turn counts the calls of syncNext; only the loop of the peers uses it.
+	turn int
+	once sync.Once
 }
 
 // Run polls until the context ends. Table, peers and snapshots have loops of their own, so that a slow store does not
@@ -135,11 +143,30 @@
 	}
 }
 
+// refreshPeers calls an entry in every failure domain when the peers' confirmation may be needed, and otherwise a single
+// one: in a fleet of 7 failure domains, calls to all of them would take 1.9 KB/s of the 3 KB/s that a node may spend.
 func (f *Follower) refreshPeers(ctx context.Context) {
-	f.syncDomains(ctx)
+	if f.tableSuffices() {
+		f.syncNext(ctx)
+	} else {
+		f.syncDomains(ctx)
+	}
+
 	f.publishFresh()
 }
 
+// tableSuffices reports whether the table confirmed the document a moment ago and nothing is to be spread.
+func (f *Follower) tableSuffices() bool {
+	if f.version() < 0 || len(f.Board.Revoked.Value()) > 0 {
+		return false
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return !f.fresh.silent && time.Since(f.fresh.table) < tableRecent
+}
+
 // CatchUp brings the document to at least the version, from the table and, in an entry, from peers.
 func (f *Follower) CatchUp(ctx context.Context, version int64) error {
 	f.init()
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -74,6 +74,34 @@
 	})
 }
 
+// Guards against calls to every failure domain in each period while the table answers, and against entries that refuse work
+// at the start of an outage because they had not called enough of them.
+func TestPeersAreCalledInTurnUntilTheTableIsSilent(t *testing.T) {
+	domains := []string{"a", "b", "c", "d", "e", "f", "g"}
+
+	inWorld(t, domains, func(w *world) {
+		t := w.t
+		time.Sleep(10 * time.Second)
+
+		var before, after int
+
+		w.set(func() { before = w.syncs })
+		time.Sleep(time.Minute)
+		w.set(func() { after = w.syncs })
+
+		// Half of a minute's periods more allows for the jitter.
+		periods := int(time.Minute / follow.EntryPeriod)
+		assert.Assert(t, after-before <= len(domains)*periods*3/2, "%d calls", after-before)
+
+		w.set(func() { w.down = true })
+
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			w.each(func(p *process) { assert.Assert(t, p.fresh(), "%s refuses", p.name) })
+		}
+	})
+}
+
 // Guards against a failure domain that is partitioned alone, with the table down, and goes on.
 func TestMinorityRefusesDuringTableOutage(t *testing.T) {
 	inWorld(t, []string{"a", "b", "c"}, func(w *world) {
--- a/internal/config/follow/peers.go
+++ b/internal/config/follow/peers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -45,18 +44,15 @@
 		return
 	}
 
-	f.syncWith(ctx, f.others())
+	f.syncWith(ctx, f.listed().others)
 }
 
 // syncDomains calls one entry in each failure domain that has entries. Another one is chosen each time, so that an entry
 // that does not answer costs one period.
 func (f *Follower) syncDomains(ctx context.Context) {
-	byDomain := map[string][]vms.VM{}
-	for _, peer := range f.others() {
-		byDomain[peer.Domain] = append(byDomain[peer.Domain], peer)
-	}
-
+	byDomain := f.listed().byDomain
 	chosen := make([]vms.VM, 0, len(byDomain))
+
 	for _, peers := range byDomain {
 		chosen = append(chosen, peers[rand.IntN(len(peers))])
 	}
@@ -64,6 +60,19 @@
 	f.syncWith(ctx, chosen)
 }
 
+// syncNext calls one entry, of the next failure domain in turn.
+func (f *Follower) syncNext(ctx context.Context) {
+	listed := f.listed()
+	if len(listed.others) == 0 {
+		return
+	}
+
+	f.turn++
+	peers := listed.byDomain[listed.peerDomains[f.turn%len(listed.peerDomains)]]
+
+	f.syncWith(ctx, []vms.VM{peers[rand.IntN(len(peers))]})
+}
+
 func (f *Follower) syncWith(ctx context.Context, peers []vms.VM) {
 	slots := make(chan struct{}, syncParallel)
 
@@ -212,10 +221,7 @@
 }
 
 func (f *Follower) notePeer(address string, peer board.Peer) {
-	listed := map[string]bool{}
-	for _, other := range f.others() {
-		listed[other.Address] = true
-	}
+	listed := f.listed().addresses
 
 	f.Board.Peers.Update(func(old map[string]board.Peer) map[string]board.Peer {
 		peers := maps.Clone(old)
@@ -232,33 +238,3 @@
 		return peers
 	})
 }
-
-// others returns the listed entries but this one.
-func (f *Follower) others() []vms.VM {
-	var others []vms.VM
-
-	for _, vm := range f.Board.VMs.Value().VMs {
-		if vm.Role == vms.RoleEntry && vm.Address != f.Self.Address {
-			others = append(others, vm)
-		}
-	}
-
-	return others
-}
-
-// entryDomains returns the failure domains that have entries; none if no entry is listed.
-func (f *Follower) entryDomains() []string {
-	var domains []string
-
-	if f.Peers == nil {
-		return nil
-	}
-
-	for _, vm := range f.Board.VMs.Value().VMs {
-		if vm.Role == vms.RoleEntry && !slices.Contains(domains, vm.Domain) {
-			domains = append(domains, vm.Domain)
-		}
-	}
-
-	return domains
-}
--- a/internal/config/follow/serve.go
+++ b/internal/config/follow/serve.go
@@ -76,7 +76,7 @@
 
 // noteCaller records an entry that called, under the address that the VM list has for it.
 func (f *Follower) noteCaller(request *rpc.SyncRequest) {
-	for _, vm := range f.others() {
+	for _, vm := range f.listed().others {
 		if vm.Name != request.GetEntry() {
 			continue
 		}
--- a/internal/config/follow/world_test.go
+++ b/internal/config/follow/world_test.go
@@ -63,8 +63,9 @@
 	heads []committed
 	ctx   context.Context
 	boots int
-	// calls counts the calls of the table.
+	// calls counts the calls of the table, and syncs those to peers.
 	calls int
+	syncs int
 	// delay is the time that a message between processes or an answer of the table takes.
 	delay func() time.Duration
 }
@@ -209,6 +210,7 @@
 }
 
 func (l link) Sync(ctx context.Context, address string, request *rpc.SyncRequest) (*rpc.SyncReply, error) {
+	l.world.set(func() { l.world.syncs++ })
 	time.Sleep(l.world.delay())
 
 	target := l.world.reach(l.from, address)
--- a/internal/fleet/member/controller.go
+++ b/internal/fleet/member/controller.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"reflect"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -67,7 +67,7 @@
 	servers := Merge(list, c.Board.Document.Value(), &c.contacts, now)
 	current := c.View.Value()
 
-	if current != nil && reflect.DeepEqual(current.Servers, servers) {
+	if current != nil && slices.EqualFunc(current.Servers, servers, (*Server).equal) {
 		return
 	}
 
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -149,3 +149,41 @@
 		assert.Equal(t, len(controller.View.Value().Servers), 1, "a domain out of service leaves the view at once")
 	})
 }
+
+// Guards against a change of a listed VM that the view does not take over, and against a new view, which discards the cached
+// rankings, without a change.
+func TestViewChangesWithEveryField(t *testing.T) {
+	cases := map[string]func(vm *vms.VM){
+		"server":  func(vm *vms.VM) { vm.Server = "s2" },
+		"VM":      func(vm *vms.VM) { vm.Name = "vm-new" },
+		"address": func(vm *vms.VM) { vm.Address = "elsewhere" },
+		"domain":  func(vm *vms.VM) { vm.Domain = "b" },
+		"region":  func(vm *vms.VM) { vm.Region = "r2" },
+		"serves":  func(vm *vms.VM) { vm.Serves = []string{"model/n"} },
+		"weight":  func(vm *vms.VM) { vm.Domain = "returning" },
+	}
+
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+			b := &board.Board{}
+			controller := &member.Controller{Board: b}
+			vm := agent("s1", "a")
+
+			b.Document.Set(&document.Document{Domains: map[string]document.Domain{"returning": {Since: now}}})
+			b.VMs.Set(vms.List{Sequence: 1, VMs: []vms.VM{vm}})
+			controller.Refresh(now)
+
+			before := controller.View.Value()
+
+			b.VMs.Set(vms.List{Sequence: 2, VMs: []vms.VM{vm}})
+			controller.Refresh(now)
+			assert.Equal(t, controller.View.Value(), before)
+
+			change(&vm)
+			b.VMs.Set(vms.List{Sequence: 3, VMs: []vms.VM{vm}})
+			controller.Refresh(now)
+			assert.Assert(t, controller.View.Value() != before)
+		})
+	}
+}
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -34,6 +34,19 @@
 	Contact *Contact
 }
 
+// equal compares all fields. Reflection would take most of the time of a look at the members, which entries take each
+// second.
+func (s *Server) equal(other *Server) bool {
+	return s.Name == other.Name &&
+		s.VM == other.VM &&
+		s.Address == other.Address &&
+		s.Domain == other.Domain &&
+		s.Region == other.Region &&
+		slices.Equal(s.Serves, other.Serves) &&
+		s.Weight == other.Weight &&
+		s.Contact == other.Contact
+}
+
 // View is the set of backend servers that may receive new work. It is immutable, except for Contact.
 type View struct {
 	Servers []*Server
--- a/internal/limit/assign/assign.go
+++ b/internal/limit/assign/assign.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,13 @@
 	drained bool
 	// missing holds the time at which an account was first seen without a row.
 	missing map[string]time.Time
+	// rows is the result of the last full read, head the version of the head row before it, and listed when it began. mu
+	// guards them.
+	rows   map[string]row
+	head   int64
+	listed time.Time
+	// stale makes the next poll read all rows.
+	stale atomic.Bool
 	// failing says that the last cycle had an error, so that an outage is logged once. Only Run uses it.
 	failing bool
 }
@@ -102,9 +110,10 @@
 	a.failing = err != nil
 }
 
-// Poke makes Run poll soon; ledger.Ledger calls it as Stale.
+// Poke makes Run poll all rows soon; ledger.Ledger calls it as Stale.
 func (a *Assign) Poke(string) {
 	a.init()
+	a.stale.Store(true)
 
 	select {
 	case a.wake <- struct{}{}:
@@ -155,8 +164,10 @@
 func (a *Assign) change(ctx context.Context, rows map[string]row) error {
 	var failed error
 
+	entries := a.entries()
+
 	for _, account := range a.accounts(rows) {
-		err := a.changeRow(ctx, account, rows[account])
+		err := a.changeRow(ctx, account, rows[account], entries)
 		if err != nil {
 			failed = errors.CombineErrors(failed, err)
 		}
@@ -169,13 +180,11 @@
 	return failed
 }
 
-func (a *Assign) changeRow(ctx context.Context, account string, current row) error {
+func (a *Assign) changeRow(ctx context.Context, account string, current row, entries []board.Holder) error {
 	if current.version == 0 {
-		return a.create(ctx, account)
+		return a.create(ctx, account, entries)
 	}
 
-	entries := a.entries()
-
 	next, changed := replace(current.assignment, entries, func(holder board.Holder) bool { return a.gone(ctx, holder) })
 	if changed {
 		return a.write(ctx, current, next)
@@ -194,9 +203,7 @@
 	return a.write(ctx, current, move.next)
 }
 
-func (a *Assign) create(ctx context.Context, account string) error {
-	entries := a.entries()
-
+func (a *Assign) create(ctx context.Context, account string, entries []board.Holder) error {
 	first, ok := first(account, entries)
 	if !ok || len(first.Holders) < min(maxHolders, a.domains()) && !a.waited(account) {
 		return nil
--- a/internal/limit/assign/assign_test.go
+++ b/internal/limit/assign/assign_test.go
@@ -91,6 +91,49 @@
 	}
 }
 
+// lists counts the reads of all rows.
+type lists struct {
+	table.Memory
+	count int
+}
+
+func (l *lists) List(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	l.count++
+
+	return l.Memory.List(ctx, prefix, after, limit)
+}
+
+// Guards against polls that read every row while none has changed, and against a change or a hint that is not followed by
+// such a read.
+func TestAllRowsAreReadOnlyAfterAChange(t *testing.T) {
+	rows := &lists{}
+	a, other := newAssign(rows), newAssign(&rows.Memory)
+	cycles := func(count int) {
+		t.Helper()
+
+		for range 5 {
+			assert.NilError(t, a.Cycle(context.Background()))
+		}
+
+		assert.Equal(t, rows.count, count)
+	}
+
+	// The first cycle writes a row for each account; the second one sees the change of the head.
+	cycles(2)
+
+	other.Board.Document.Set(&document.Document{Version: 2, Accounts: map[string]document.Account{"late": {Rate: 10, Burst: 1000}}})
+	assert.NilError(t, other.Cycle(context.Background()))
+	cycles(3)
+	assert.Equal(t, len(a.Board.Shares.Value()["late"].Holders), 2)
+
+	// A holder whose row was changed without the head says so to its callers.
+	store(t, rows, 9, board.Holder{VM: "vm-b", Address: "vm-b:1", Boot: "boot-b", Domain: "b", Share: 1_000_000, Since: 9})
+	cycles(3)
+	a.Poke(account)
+	cycles(4)
+	assert.Equal(t, a.Board.Shares.Value()[account].Epoch, int64(9))
+}
+
 // Guards against a part that the giver still spends when the row gives it to the taker.
 func TestGiverStopsBeforeTheRowIsWritten(t *testing.T) {
 	rows := &watched{}
--- a/internal/limit/assign/drain.go
+++ b/internal/limit/assign/drain.go
@@ -43,6 +43,7 @@
 	defer a.mu.Unlock()
 
 	a.drained = true
+	a.stale.Store(true)
 
 	rows, err := a.read(ctx)
 	if err != nil {
--- a/internal/limit/assign/rows.go
+++ b/internal/limit/assign/rows.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,8 +21,19 @@
 	rowPrefix = "limit/"
 	// pageSize is the number of rows read at once.
 	pageSize = 500
+	// headKey is the row that every change of an assignment writes as well. A poll reads it alone while it is unchanged: with
+	// 500 accounts, all rows have 356 KB.
+	headKey = "limits/head"
+	// fullInterval bounds how long a row that was written without the head goes unnoticed.
+	fullInterval = 5 * time.Minute
 )
 
+// head is the value of the row limits/head: the change that wrote it.
+type head struct {
+	Account string `json:"account"`
+	Epoch   int64  `json:"epoch"`
+}
+
 // row is a stored assignment with the version of its table row; version 0 is an absent row.
 type row struct {
 	assignment board.Assignment
@@ -33,6 +45,42 @@
 		return a.readNamed(ctx)
 	}
 
+	stale := a.stale.Swap(false)
+
+	// The head is read before the rows, so that a change between the two is seen at the next poll.
+	version, err := a.headVersion(ctx)
+	if err != nil {
+		a.stale.Store(true)
+		return nil, err
+	}
+
+	if version != 0 && version == a.head && !stale && time.Since(a.listed) < fullInterval {
+		return a.rows, nil
+	}
+
+	started := time.Now()
+
+	rows, err := a.readAll(ctx)
+	if err != nil {
+		a.stale.Store(true)
+		return nil, err
+	}
+
+	a.rows, a.head, a.listed = rows, version, started
+
+	return rows, nil
+}
+
+func (a *Assign) headVersion(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	stored, err := a.Table.Get(ctx, headKey)
+
+	return stored.Version, errors.Wrap(err, "read version of share assignments")
+}
+
+func (a *Assign) readAll(ctx context.Context) (map[string]row, error) {
 	rows := map[string]row{}
 	after := ""
 
@@ -143,12 +191,18 @@
 		return errors.Wrapf(err, "encode share assignment of %s", next.Account)
 	}
 
+	latest, err := json.Marshal(head{Account: next.Account, Epoch: next.Epoch})
+	if err != nil {
+		return errors.Wrap(err, "encode version of share assignments")
+	}
+
 	key := rowPrefix + next.Account
 
 	if err := a.commit(ctx, table.Txn{
 		Checks: []table.Check{{Key: key, Version: current.version}},
-		Puts:   []table.Put{{Key: key, Value: value}},
+		Puts:   []table.Put{{Key: key, Value: value}, {Key: headKey, Value: latest}},
 	}); err != nil {
+		a.stale.Store(true)
 		return a.readBack(ctx, next.Account, err)
 	}
 
--- a/internal/measure/slopes/polls.go
+++ b/internal/measure/slopes/polls.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// limitPolls measures the poll of all share assignments by an entry, when none changes.
+// limitPolls measures the poll of the share assignments by an entry, when none has changed and when one has.
 func limitPolls(r *report, accounts int) {
 	standin := &tablestandin.Server{}
 	served := serve(standin.Handler())
@@ -119,14 +119,21 @@
 		Boot:   func(context.Context, string) (string, error) { return "", context.DeadlineExceeded },
 	}
 
-	served.poll(r, "poll.limits/accounts", accounts, func() { must(poller.Cycle(context.Background())) })
+	served.poll(r, "poll.limits.unchanged/accounts", accounts, func() { must(poller.Cycle(context.Background())) })
+
+	served.poll(r, "poll.limits.changed/accounts", accounts, func() {
+		fillShares(&standin.Memory, account(0))
+		must(poller.Cycle(context.Background()))
+	})
 
 	agent := &assign.Assign{Board: shared, Table: poller.Table, Accounts: []string{"weights"}}
 	served.poll(r, "poll.weights/accounts", accounts, func() { must(agent.Cycle(context.Background())) })
 }
 
 func fillShares(memory *table.Memory, name string) {
-	_, err := memory.Commit(context.Background(), table.Txn{Puts: []table.Put{{Key: "limit/" + name, Value: encode(shares(name))}}})
+	_, err := memory.Commit(context.Background(), table.Txn{Puts: []table.Put{
+		{Key: "limit/" + name, Value: encode(shares(name))}, {Key: "limits/head", Value: []byte("{}")},
+	}})
 	must(err)
 }
 
--- a/internal/measure/slopes/requests.go
+++ b/internal/measure/slopes/requests.go
@@ -156,34 +156,39 @@
 	return fmt.Appendf(nil, `{"model":%q,"max_tokens":%d,"stream":true,"messages":[{"role":"user","content":%q}]}`, adapter(0), tokens, prompt)
 }
 
-// open sends a streaming request and returns the answer.
-func (p *pair) open(tokens int) (*http.Response, error) {
+// open sends a streaming request and returns the status and the body of the answer.
+func (p *pair) open(tokens int) (int, io.ReadCloser, error) {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, p.url+"/v1/chat/completions", bytes.NewReader(body(tokens)))
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 
 	request.Header.Set("Authorization", "Bearer "+key(0))
 	request.Header.Set("Content-Type", "application/json")
 
-	return p.client.Do(request)
+	response, err := p.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+
+	return response.StatusCode, response.Body, nil
 }
 
 func (p *pair) tryHTTP(tokens int) error {
-	response, err := p.open(tokens)
+	status, answer, err := p.open(tokens)
 	if err != nil {
 		return err
 	}
 
-	data, err := io.ReadAll(response.Body)
-	_ = response.Body.Close()
+	data, err := io.ReadAll(answer)
+	_ = answer.Close()
 
 	if err != nil {
 		return err
 	}
 
-	if response.StatusCode != http.StatusOK || !bytes.Contains(data, []byte("[DONE]")) {
-		return fmt.Errorf("status %d: %.300s", response.StatusCode, data)
+	if status != http.StatusOK || !bytes.Contains(data, []byte("[DONE]")) {
+		return fmt.Errorf("status %d: %.300s", status, data)
 	}
 
 	return nil
@@ -313,10 +318,10 @@
 		answers := make([]io.ReadCloser, 0, size)
 
 		for range size {
-			response, err := p.open(64)
+			_, answer, err := p.open(64)
 			must(err)
 
-			answers = append(answers, response.Body)
+			answers = append(answers, answer)
 		}
 
 		r.add("memory.requests/running", size, heap()+stacks()-before, Bytes)
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -50,6 +50,8 @@
 	Body []byte
 	// Type is the content type of Body.
 	Type string
+	// Header holds further header fields; nil sends none.
+	Header http.Header
 }
 
 // StatusError is an answer other than 200.
@@ -81,27 +83,37 @@
 // Open sends the call and returns the response body, which the caller must close. An answer other than 200 is a
 // *StatusError error.
 func Open(ctx context.Context, call Call) (io.ReadCloser, error) {
-	request, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
+	response, err := send(ctx, call)
 	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+		return nil, err
 	}
 
-	if call.Type != "" {
-		request.Header.Set("Content-Type", call.Type)
+	if response.StatusCode == http.StatusOK {
+		return response.Body, nil
 	}
 
-	response, err := Once(call.HTTP).Do(request)
+	defer func() { _ = response.Body.Close() }()
+
+	return nil, statusOf(response)
+}
+
+func send(ctx context.Context, call Call) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, call.Method, call.URL, bytes.NewReader(call.Body))
 	if err != nil {
-		return nil, errors.Wrap(err, "send request")
+		return nil, errors.Wrap(err, "build request")
 	}
 
-	if response.StatusCode == http.StatusOK {
-		return response.Body, nil
+	for name, values := range call.Header {
+		request.Header[name] = values
 	}
 
-	defer func() { _ = response.Body.Close() }()
+	if call.Type != "" {
+		request.Header.Set("Content-Type", call.Type)
+	}
 
-	return nil, statusOf(response)
+	response, err := Once(call.HTTP).Do(request)
+
+	return response, errors.Wrap(err, "send request")
 }
 
 // Bytes sends the call and returns the whole response body.
--- a/internal/standin/vms/vms.go
+++ b/internal/standin/vms/vms.go
@@ -2,16 +2,21 @@
 package vms
 
 import (
+	"compress/gzip"
 	"context"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/standin/switches"
 )
@@ -30,6 +35,9 @@
 	visible vms.List
 	// sequence counts the changes.
 	sequence int64
+	// boot tells the entity tags of this process from those of another one.
+	boot string
+	once sync.Once
 }
 
 type change struct {
@@ -65,7 +73,7 @@
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	server := echo.New()
-	server.GET("/vms", s.Switches.Wrap(func(c echo.Context) error { return c.JSON(http.StatusOK, s.read()) }))
+	server.GET("/vms", s.Switches.Wrap(s.get))
 	server.PUT("/vms/:name", s.put)
 	server.DELETE("/vms/:name", s.remove)
 	s.Switches.Register(server)
@@ -73,6 +81,40 @@
 	return server
 }
 
+// get answers a conditional read with 304, and compresses the list for clients that allow it.
+func (s *Server) get(c echo.Context) error {
+	list := s.read()
+	tag := s.tag(list.Sequence)
+	header := c.Response().Header()
+	header.Set("ETag", tag)
+
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+
+	if !strings.Contains(c.Request().Header.Get(echo.HeaderAcceptEncoding), "gzip") {
+		return c.JSON(http.StatusOK, list)
+	}
+
+	header.Set(echo.HeaderContentEncoding, "gzip")
+	header.Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(http.StatusOK)
+
+	writer := gzip.NewWriter(c.Response())
+	if err := json.NewEncoder(writer).Encode(list); err != nil {
+		return err
+	}
+
+	return writer.Close()
+}
+
+// tag is the entity tag of the list. It differs between processes, because each counts its changes anew.
+func (s *Server) tag(sequence int64) string {
+	s.once.Do(func() { s.boot = ident.New("list") })
+
+	return strconv.Quote(s.boot + "-" + strconv.FormatInt(sequence, 10))
+}
+
 func (s *Server) put(c echo.Context) error {
 	var vm vms.VM
 
--- a/internal/standin/vms/vms_test.go
+++ b/internal/standin/vms/vms_test.go
@@ -1,6 +1,7 @@
 package vms_test
 
 import (
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -45,6 +46,52 @@
 	assert.Assert(t, fault.Is(err, fault.BackendFailed), "%v", err)
 }
 
+// Guards against polls that transfer an unchanged list, and against an old list that passes for the one of a service that was
+// started anew and has counted to the same sequence.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	standin := &vms.Server{}
+	sent := 0
+	handler := func(w http.ResponseWriter, request *http.Request) {
+		recorder := httptest.NewRecorder()
+		standin.Handler().ServeHTTP(recorder, request)
+
+		sent += recorder.Body.Len()
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}
+
+	server := httptest.NewServer(http.HandlerFunc(handler))
+	t.Cleanup(server.Close)
+
+	client := &platform.Client{URL: server.URL}
+	names := func() (found []string) {
+		list, err := client.List(t.Context())
+		assert.NilError(t, err)
+
+		for _, vm := range list.VMs {
+			found = append(found, vm.Name)
+		}
+
+		return found
+	}
+
+	standin.Put(platform.VM{Name: "vm-1"})
+	assert.DeepEqual(t, names(), []string{"vm-1"})
+
+	first := sent
+	assert.DeepEqual(t, names(), []string{"vm-1"})
+	assert.Equal(t, sent, first)
+
+	standin.Put(platform.VM{Name: "vm-2"})
+	assert.DeepEqual(t, names(), []string{"vm-1", "vm-2"})
+
+	standin = &vms.Server{}
+	standin.Put(platform.VM{Name: "vm-3"})
+	standin.Put(platform.VM{Name: "vm-4"})
+	assert.DeepEqual(t, names(), []string{"vm-3", "vm-4"})
+}
+
 // Guards against a list without the lag that members must cope with.
 func TestChangesAreVisibleAfterTheLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
