Decide admissions over active accounts and greet without a list

The queue of a class keeps the accounts that have items in a slice, and forgets idle accounts when their number has doubled.

As Hello no longer replaces the list of an earlier agent process, list epochs now start at random, so that two processes do not share them.

--- a/internal/adapter/slots/report.go
+++ b/internal/adapter/slots/report.go
@@ -61,12 +61,12 @@
 
 	slices.SortFunc(names, strings.Compare)
 
-	return names, s.epoch
+	return names, s.Epoch()
 }
 
 // Epoch returns the epoch of the resident list; it grows with every change.
 func (s *Slots) Epoch() int64 {
-	return s.epoch
+	return s.First + s.epoch
 }
 
 // forget drops removals and load failures that no longer matter.
--- a/internal/adapter/slots/slots.go
+++ b/internal/adapter/slots/slots.go
@@ -59,6 +59,9 @@
 type Slots struct {
 	// Capacity is the number of adapters that fit at once.
 	Capacity int
+	// First is the epoch before the first change. Processes choose it at random, so that an epoch that was known of an
+	// earlier process does not pass for one of this process.
+	First int64
 
 	resident map[engine.Adapter]*slot
 	wanted   map[engine.Adapter]*want
@@ -73,7 +76,7 @@
 	// estimate is the average time of a load as of the time estimated; 0 before one was seen.
 	estimate  time.Duration
 	estimated time.Time
-	// epoch grows with every change of the resident list.
+	// epoch counts the changes of the resident list.
 	epoch int64
 }
 
--- a/internal/admit/queue/class.go
+++ b/internal/admit/queue/class.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// leastForget is the number of accounts below which none is forgotten.
+const leastForget = 16
+
 // class is one priority class with start-time fair queueing (Goyal, Vin and Cheng, 1996) between accounts: it serves
 // the account whose next item has the smallest virtual start time.
 type class struct {
@@ -10,9 +13,14 @@
 	virtual float64
 	// backlog is the sum of the costs of eligible items, in tokens.
 	backlog float64
-	// flows holds the accounts with eligible items, and those whose next start lies ahead of virtual.
-	flows   map[string]*flow
+	// flows holds the accounts with eligible items, those whose next start lies ahead of virtual, and some others whose
+	// start no longer matters.
+	flows map[string]*flow
+	// active holds the flows with eligible items, in no order. Decisions look at each of them, which a map makes slow.
+	active  []*flow
 	blocked map[*Item]bool
+	// forgetAt is the number of flows from which on forget looks at them.
+	forgetAt int
 }
 
 // flow is the queue of one account in one class.
@@ -23,6 +31,8 @@
 	// backlog is the sum of the costs of items, in tokens.
 	backlog float64
 	weight  float64
+	// at is the position in active; it counts only while there are items.
+	at int
 }
 
 func (c *class) add(item *Item) {
@@ -39,6 +49,8 @@
 
 	if len(f.items) == 0 {
 		f.start = max(f.start, c.virtual)
+		f.at = len(c.active)
+		c.active = append(c.active, f)
 	}
 
 	f.weight = item.Weight
@@ -50,8 +62,8 @@
 func (c *class) pop() *Item {
 	var first *flow
 
-	for _, f := range c.flows {
-		if len(f.items) > 0 && (first == nil || f.before(first)) {
+	for _, f := range c.active {
+		if first == nil || f.before(first) {
 			first = f
 		}
 	}
@@ -106,25 +118,41 @@
 	c.backlog -= float64(item.Cost)
 
 	if len(f.items) == 0 {
+		c.deactivate(f)
 		c.forget()
 	}
 }
 
-// forget drops the accounts without items whose next start is not ahead of the virtual time.
+func (c *class) deactivate(f *flow) {
+	last := len(c.active) - 1
+	c.active[f.at] = c.active[last]
+	c.active[f.at].at = f.at
+	c.active[last] = nil
+	c.active = c.active[:last]
+}
+
+// forget drops the accounts without items whose next start is not ahead of the virtual time. It looks at all of them, so
+// it waits until their number has doubled.
 func (c *class) forget() {
+	if len(c.flows) < c.forgetAt {
+		return
+	}
+
 	for account, f := range c.flows {
 		if len(f.items) == 0 && f.start <= c.virtual {
 			delete(c.flows, account)
 		}
 	}
+
+	c.forgetAt = max(leastForget, 2*len(c.flows))
 }
 
 func (c *class) newest() *Item {
 	var last *Item
 
-	for _, f := range c.flows {
-		if count := len(f.items); count > 0 && (last == nil || f.items[count-1].sequence > last.sequence) {
-			last = f.items[count-1]
+	for _, f := range c.active {
+		if newest := f.items[len(f.items)-1]; last == nil || newest.sequence > last.sequence {
+			last = newest
 		}
 	}
 
@@ -144,13 +172,14 @@
 
 	var total float64
 
-	if own := c.flows[item.Account]; own != nil {
+	own := c.flows[item.Account]
+	if own != nil {
 		start = max(start, own.start) + own.backlog/item.Weight
 		total = own.backlog
 	}
 
-	for account, f := range c.flows {
-		if account == item.Account || len(f.items) == 0 || f.start > start {
+	for _, f := range c.active {
+		if f == own || f.start > start {
 			continue
 		}
 
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -397,7 +397,7 @@
 		ResidentEpoch: g.slots.Epoch(),
 	}
 
-	if load.ResidentEpoch != known {
+	if known != noList && load.ResidentEpoch != known {
 		load.Resident, load.ResidentEpoch = g.slots.Resident()
 		load.ResidentSent = true
 	}
--- a/internal/agent/server/generate_test.go
+++ b/internal/agent/server/generate_test.go
@@ -351,3 +351,21 @@
 		cut()
 	})
 }
+
+// Guards against resident lists that are sent with every Hello, and against the list of an earlier agent process that passes for
+// the one of its successor.
+func TestResidentListComesWithTheAnswer(t *testing.T) {
+	epochs := map[int64]bool{}
+
+	for range 2 {
+		bubble(t, false, func(f *fixture) {
+			assert.Assert(t, !f.hello.Load.ResidentSent)
+
+			epochs[f.hello.Load.ResidentEpoch] = true
+			answer := f.run(f.generate("r1", "quote"))
+			assert.DeepEqual(t, answer.resident, []string{"quote@1"})
+		})
+	}
+
+	assert.Equal(t, len(epochs), 2)
+}
--- a/internal/agent/server/handler.go
+++ b/internal/agent/server/handler.go
@@ -11,6 +11,10 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
+// noList is the epoch of a caller that is sent no list of resident adapters. The answer to a request brings the list: with
+// 880 servers an entry greets nearly every time before it sends a request, and would get the list twice.
+const noList = -1
+
 // handler serves the Agent service of a Server.
 type handler struct {
 	*Server
@@ -27,7 +31,7 @@
 		Domain:    s.Settings.Place.Domain,
 		Vm:        s.Settings.Place.VM,
 		Ticket:    s.tickets.issue(time.Now(), request.Entry),
-		Load:      s.loadMessage(0),
+		Load:      s.loadMessage(noList),
 	}
 
 	if s.Engine == nil {
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -31,6 +32,8 @@
 
 const (
 	component = "agent"
+	// mostFirst bounds the first epoch of the resident list; two processes rarely choose the same one.
+	mostFirst = 1 << 32
 	// drainPoll is the time between two looks at the work left during a drain.
 	drainPoll = 20 * time.Millisecond
 	// settleTimeout bounds the wait for canceled work at the end of a drain that ran out of time.
@@ -160,6 +163,7 @@
 	s.wake = make(chan struct{}, 1)
 	s.backend.plain = s.Engine == nil
 	s.gate.Wake = s.wakeLoader
+	s.gate.slots.First = 1 + rand.Int64N(mostFirst)
 	s.gate.jobs = map[*queue.Item]*job{}
 	s.tickets.valid = map[string]ticket{}
 	s.tickets.current = map[string]ticket{}
--- a/internal/measure/slopes/requests.go
+++ b/internal/measure/slopes/requests.go
@@ -283,8 +283,8 @@
 		must(err)
 	}
 
-	r.add("bytes.hello/residents", 1, p.counter.of(hello), Bytes)
-	r.add("cpu.hello/residents", 1, micros(cost(hello)), Microseconds)
+	r.add("bytes.hello/agents", 1, p.counter.of(hello), Bytes)
+	r.add("cpu.hello/agents", 1, micros(cost(hello)), Microseconds)
 	p.close()
 
 	for _, size := range adapterSizes {
