--- a/internal/measure/slopes/point.go
+++ b/internal/measure/slopes/point.go
@@ -12,6 +12,8 @@
 	BytesPerSec  = "B/s"
 	Microseconds = "us"
 	Milliseconds = "ms"
+	// PercentOfCore is processor time per time.
+	PercentOfCore = "%"
 )
 
 // Point is one measured value at one size.
--- a/internal/measure/slopes/run.go
+++ b/internal/measure/slopes/run.go
@@ -18,5 +18,6 @@
 	polls(r)
 	peers(r)
 	requests(r)
+	idle(r)
 	r.shapes()
 }
