Show status and explain in the demonstration

Cause: an operator meets these two commands first when something is odd.

Change: one more step in make demo.

--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -45,6 +45,7 @@
 		{"availability check on a route open to all", d.availability},
 		{"take failure domain a out, send a completion, bring it back", d.domain},
 		{"revoke the key", d.revoke},
+		{"status, and why an adapter is treated as it is", d.explain},
 		{"audit trail", d.audit},
 	}
 
@@ -160,6 +161,14 @@
 	return err
 }
 
+func (d *Demo) explain(ctx context.Context) error {
+	if err := d.ctl(ctx, "status"); err != nil {
+		return err
+	}
+
+	return d.ctl(ctx, "explain", "--adapter", "quote", "--account", "pistas")
+}
+
 func (d *Demo) audit(ctx context.Context) error {
 	return d.ctl(ctx, "audit")
 }
