Wait shortly for refill before a request is refused

Cause: refill of debited tokens starts 250 ms after the debit, so that the envelope holds for delayed admissions. An account at the edge of its envelope was therefore refused requests that one ideal bucket admits: 5 of 1,596 (0.313%) and 5 of 1,619 (0.309%), against a target of 0.1%. The test allowed 1% there; its limit is now the target, and it failed.

Change: a debit that lacks tokens which will be there within 1 s waits for them. Two debits of an account wait at an entry at most; any other is refused at once, so that an account far above its rate hears soon. The composition of an entry follows the newer signature of assign.AskBoot.

--- a/internal/limit/faults_test.go
+++ b/internal/limit/faults_test.go
@@ -13,9 +13,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 )
 
-// Guards against refusals of an account that stays within its rate and burst. The limits of the rows "steady" are the
-// design's targets. In the rows "edge" an ideal bucket cuts off bursts of large requests, so that the account is at
-// the edge of its envelope much of the time; these show what three buckets cost against one.
+// Guards against refusals of an account that stays within its rate and burst. The limits are the design's targets. In the
+// rows "edge" an ideal bucket cuts off bursts of large requests, so that the account is at the edge of its envelope much
+// of the time.
 func TestWrongfulRefusals(t *testing.T) {
 	cases := map[string]struct {
 		one   bool
@@ -27,8 +27,8 @@
 		"steady, one entry":          {true, 1500, nil, 0.001},
 		"steady, spread, entry lost": {false, 1500, loseEntry, 0.01},
 		"steady, one, entry lost":    {true, 1500, loseEntry, 0.01},
-		"edge, spread":               {false, 6000, nil, 0.01},
-		"edge, one entry":            {true, 6000, nil, 0.01},
+		"edge, spread":               {false, 6000, nil, 0.001},
+		"edge, one entry":            {true, 6000, nil, 0.001},
 	}
 
 	for name, tc := range cases {
--- a/internal/limit/ledger/ledger.go
+++ b/internal/limit/ledger/ledger.go
@@ -36,6 +36,8 @@
 
 	mu    sync.Mutex
 	hints map[hintKey]hint
+	// waiting counts the debits of each account that wait for refill.
+	waiting map[string]int
 	// returns counts the running refunds.
 	returns sync.WaitGroup
 	// prefix and count make the ids of debits; a random id for each would take longer than the rest of a local debit.
@@ -68,13 +70,32 @@
 }
 
 // Debit takes the amount of tokens from the account, or nothing and returns a fault of kind RateLimited with the time
-// to come back, TooLarge, or LimitUnavailable.
+// to come back, TooLarge, or LimitUnavailable. It may wait up to refillWait for tokens that refill until then.
 func (l *Ledger) Debit(ctx context.Context, account string, amount int64) (*Charge, error) {
 	limits, err := l.check(account, amount)
 	if err != nil {
 		return nil, err
 	}
 
+	patience := refillWait
+
+	for {
+		charge, err := l.attempt(ctx, account, amount, limits)
+		if err == nil {
+			return charge, nil
+		}
+
+		waited, ok := l.awaitRefill(ctx, account, err, patience)
+		if !ok {
+			return nil, err
+		}
+
+		patience -= waited
+	}
+}
+
+// attempt debits the holders once.
+func (l *Ledger) attempt(ctx context.Context, account string, amount int64, limits terms.Terms) (*Charge, error) {
 	attempt := &attempt{
 		ledger:  l,
 		account: account,
--- a/internal/program/compose/entry.go
+++ b/internal/program/compose/entry.go
@@ -49,7 +49,7 @@
 
 	self := board.Holder{VM: place.VM, Address: server.Settings.Peer, Boot: boot, Domain: place.Domain}
 	local := &holder.Holder{Board: shared, Boot: boot}
-	shares := &assign.Assign{Board: shared, Table: platform.Table, Holder: local, Self: self, Boot: assign.AskBoot(pool, self)}
+	shares := &assign.Assign{Board: shared, Table: platform.Table, Holder: local, Self: self, Boot: assign.AskBoot(pool)}
 	debits := &ledger.Ledger{Board: shared, Pool: pool, Local: local, Stale: shares.Poke}
 
 	server.Lister = platform.VMs
--- a/internal/program/compose/platform.go
+++ b/internal/program/compose/platform.go
@@ -2,6 +2,7 @@
 package compose
 
 import (
+	"github.com/chestnutbeam/chestnutbeam/internal/limit/terms"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/object"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
@@ -15,4 +16,4 @@
 }
 
 // loadAccount is the reserved account whose tokens are loads from the weight store.
-const loadAccount = "weights"
+const loadAccount = terms.Weights
