Test faults with real processes

A second SIGTERM right after the first one could be lost; agents did not log what they wait for; two trial fleets of one process could choose the same port.

--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -30,6 +30,13 @@
 	return "Serving layer for many LoRA adapters and plain services."
 }
 
+const (
+	// signalsKept is the number of signals that have a meaning: the first one and the second one.
+	signalsKept = 2
+	// exitTerminated is the exit code after a second signal: 128 plus the number of SIGTERM, as shells report it.
+	exitTerminated = 143
+)
+
 type runner interface {
 	Run(ctx context.Context) error
 }
@@ -64,12 +71,16 @@
 	}
 }
 
-// run returns the exit code. The first SIGTERM or SIGINT begins a graceful shutdown; a second one ends the process at once.
+// run returns the exit code.
 func run(chosen runner) int {
-	ctx, restore := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer restore()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	// The channel has room for both signals: one that arrives right after the other is not lost.
+	signals := make(chan os.Signal, signalsKept)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 
-	context.AfterFunc(ctx, restore)
+	go obey(signals, cancel)
 
 	err := chosen.Run(ctx)
 	if err == nil {
@@ -85,3 +96,11 @@
 
 	return 1
 }
+
+// obey begins a graceful shutdown at the first signal and ends the process at the second one.
+func obey(signals <-chan os.Signal, shutdown func()) {
+	<-signals
+	shutdown()
+	<-signals
+	os.Exit(exitTerminated)
+}
--- a/internal/agent/server/monitor.go
+++ b/internal/agent/server/monitor.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
@@ -107,8 +105,7 @@
 	restarted := s.backend.update(info, err, weight)
 
 	if up := s.backend.up(); up != was {
-		logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server, "up": up}).
-			WithError(err).Info("engine state changed")
+		s.log().WithField("up", up).WithError(err).Info("engine state changed")
 		s.setReady("engine", up)
 	}
 
@@ -117,7 +114,7 @@
 	}
 
 	if restarted {
-		logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server}).Warn("engine restarted empty")
+		s.log().Warn("engine restarted empty")
 	}
 
 	s.gate.report(time.Now(), state{info: info, report: report, limits: s.limits(), restarted: restarted})
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,10 @@
 	component = "agent"
 	// drainPoll is the time between two looks at the work left during a drain.
 	drainPoll = 20 * time.Millisecond
+	// waitLog is the time between two log lines that say what the process waits for.
+	waitLog = 5 * time.Second
+	// waitDocument is what the process waits for until it has a fleet document.
+	waitDocument = "configuration"
 	// settleTimeout bounds the wait for canceled work at the end of a drain that ran out of time.
 	settleTimeout = 2 * time.Second
 	// probeShutdown bounds the end of the HTTP server.
@@ -168,12 +173,13 @@
 	s.fence = &orders.Fence{Table: s.Table, Server: s.Settings.Server}
 	s.orders = &orders.Orders{Engine: s.Engine, Fence: s.fence}
 
-	s.setReady("document", s.Board.Document.Value() != nil)
+	s.setReady(waitDocument, s.Board.Document.Value() != nil)
 	s.setReady("engine", s.backend.up())
 }
 
 func (s *Server) startBackground(ctx context.Context, group *sync.WaitGroup) {
 	group.Go(func() { s.awaitDocument(ctx) })
+	group.Go(func() { s.logWaiting(ctx) })
 
 	if s.Background != nil {
 		group.Go(func() { s.Background(ctx) })
@@ -198,7 +204,7 @@
 		changed := s.Board.Document.Changed()
 
 		if s.Board.Document.Value() != nil {
-			s.setReady("document", true)
+			s.setReady(waitDocument, true)
 			return
 		}
 
@@ -210,12 +216,40 @@
 	}
 }
 
+// logWaiting logs what the process waits for until it is ready for the first time.
+func (s *Server) logWaiting(ctx context.Context) {
+	ticker := time.NewTicker(waitLog)
+	defer ticker.Stop()
+
+	log := s.log()
+
+	for {
+		waiting := s.readiness.Waiting()
+		if len(waiting) == 0 {
+			log.Info("ready")
+			return
+		}
+
+		log.Infof("not ready: waiting for %s", strings.Join(waiting, ", "))
+
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) log() *logrus.Entry {
+	return logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server})
+}
+
 // drain refuses new requests and waits until all work has ended.
 func (s *Server) drain() {
 	s.Board.Draining.Set(true)
 	s.setReady("drain", false)
 
-	log := logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server})
+	log := s.log()
 	log.Info("draining")
 
 	began := time.Now()
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -17,6 +17,8 @@
 	OperatorToken = "trial-operator-token"
 	// readyTimeout bounds the start of one process.
 	readyTimeout = 20 * time.Second
+	// tokenTime is an engine's time for one token unless the fleet sets another.
+	tokenTime = 5 * time.Millisecond
 	// readyPoll is the time between two looks at a process that starts.
 	readyPoll = 50 * time.Millisecond
 )
@@ -30,6 +32,8 @@
 	Binary string
 	// Dir holds settings files and logs.
 	Dir string
+	// Token is the time of an engine for one token; zero means tokenTime.
+	Token time.Duration
 
 	plans     []plan
 	addresses map[string]string
@@ -51,10 +55,7 @@
 // Start starts every process in an arbitrary but fixed order and waits until the stand-ins answer. Entries are not ready
 // before a fleet file is applied.
 func (f *Fleet) Start(ctx context.Context) error {
-	f.addresses = map[string]string{}
-	f.processes = map[string]*process.Process{}
-
-	if err := f.plan(ctx); err != nil {
+	if err := f.Prepare(ctx); err != nil {
 		return err
 	}
 
@@ -64,7 +65,25 @@
 		}
 	}
 
-	return f.register(ctx)
+	return f.Register(ctx)
+}
+
+// Prepare chooses the addresses and writes the settings files, and starts nothing.
+func (f *Fleet) Prepare(ctx context.Context) error {
+	f.addresses = map[string]string{}
+	f.processes = map[string]*process.Process{}
+
+	return f.plan(ctx)
+}
+
+// Names returns the names of the processes in the order in which Start starts them.
+func (f *Fleet) Names() []string {
+	names := make([]string, 0, len(f.plans))
+	for _, each := range f.plans {
+		names = append(names, each.name)
+	}
+
+	return names
 }
 
 // Stop ends every process that is still running, entries first.
@@ -81,8 +100,8 @@
 	return f.processes[name]
 }
 
-// Restart starts a process that has ended again, with the same settings and addresses.
-func (f *Fleet) Restart(ctx context.Context, name string) error {
+// Launch starts one process that is not running, with the settings and addresses of the fleet.
+func (f *Fleet) Launch(ctx context.Context, name string) error {
 	for _, each := range f.plans {
 		if each.name == name {
 			return f.startOne(ctx, each)
--- a/internal/trial/fleet/operate.go
+++ b/internal/trial/fleet/operate.go
@@ -15,8 +15,8 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 )
 
-// register waits for the VM list and puts the fleet's VMs on it.
-func (f *Fleet) register(ctx context.Context) error {
+// Register waits for the VM list and puts the fleet's VMs on it.
+func (f *Fleet) Register(ctx context.Context) error {
 	if err := f.Await(ctx, "vms"); err != nil {
 		return err
 	}
--- a/internal/trial/fleet/plan.go
+++ b/internal/trial/fleet/plan.go
@@ -9,6 +9,8 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
@@ -26,7 +28,7 @@
 // plan chooses addresses and writes the settings files.
 func (f *Fleet) plan(ctx context.Context) error {
 	for _, name := range f.names() {
-		address, err := f.freeAddress(ctx)
+		address, err := freeAddress(ctx)
 		if err != nil {
 			return err
 		}
@@ -61,6 +63,14 @@
 	return names
 }
 
+func (f *Fleet) tokenTime() time.Duration {
+	if f.Token > 0 {
+		return f.Token
+	}
+
+	return tokenTime
+}
+
 func hasOrders(domain string) bool {
 	return domain != Domains[len(Domains)-1]
 }
@@ -83,7 +93,7 @@
 
 func (f *Fleet) planDomain(domain string) error {
 	engine := "engine-" + domain
-	f.standinOf("engine", engine, "/info", "--weights", f.weights, "--model", model, "--token", "5ms", "--cold", "1s", "--fencing")
+	f.standinOf("engine", engine, "/info", "--weights", f.weights, "--model", model, "--token", f.tokenTime().String(), "--cold", "1s", "--fencing")
 
 	if err := f.planAgent(engine, domain, settings.Agent{Engine: f.URL(engine)}); err != nil {
 		return err
@@ -179,13 +189,17 @@
 	portTries = 100
 )
 
-// freeAddress returns a loopback address that was free a moment ago and is not in use by the fleet.
-func (f *Fleet) freeAddress(ctx context.Context) (string, error) {
+// chosen holds the addresses that fleets of this process have chosen: a fleet listens on them only later, so another fleet
+// would find them free.
+var chosen sync.Map
+
+// freeAddress returns a loopback address that was free a moment ago and that no fleet of this process has chosen.
+func freeAddress(ctx context.Context) (string, error) {
 	var config net.ListenConfig
 
 	for range portTries {
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
-		if f.taken(address) {
+		if _, taken := chosen.LoadOrStore(address, true); taken {
 			continue
 		}
 
@@ -199,13 +213,3 @@
 
 	return "", errors.Newf("no free port after %d tries", portTries)
 }
-
-func (f *Fleet) taken(address string) bool {
-	for _, other := range f.addresses {
-		if other == address {
-			return true
-		}
-	}
-
-	return false
-}
