Carry held revocations to agents and coalesce Hellos

Work in an agent's queue started under a key that was revoked during a table outage. Each request that waited for a ticket sent a Hello of its own.

--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -21,6 +21,8 @@
 	f.board.Document.Set(doc)
 }
 
+var revocations = []*rpc.Revocation{{Key: "k1"}}
+
 var withdrawals = map[string]struct {
 	withdraw func(f *fixture)
 	kind     string
@@ -31,6 +33,18 @@
 	"revocation not yet committed": {func(f *fixture) {
 		f.board.Revoked.Set(map[string]board.Revocation{"k1": {Key: "k1"}})
 	}, "refused key_revoked"},
+	"revocation carried by a Hello": {func(f *fixture) {
+		client, end := f.client()
+		defer end()
+
+		_, err := client.Hello(f.t.Context(), &rpc.HelloRequest{Entry: "e2", Revocations: revocations})
+		assert.NilError(f.t, err)
+	}, "refused key_revoked"},
+	"revocation carried by another request": {func(f *fixture) {
+		other := f.generate("other", "x")
+		other.Key, other.Account, other.RemainingMs, other.Revocations = "k2", "a2", 1, revocations
+		assert.Equal(f.t, f.run(other).kind(), "refused overloaded")
+	}, "refused key_revoked"},
 	"key of another account": {func(f *fixture) {
 		edit(f, func(doc *document.Document) { doc.Keys["k1"] = document.Key{Account: "a2"} })
 	}, "refused forbidden"},
--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
 // fakeEngine is an engine in memory. Its fields are changed under mu.
@@ -303,6 +305,22 @@
 
 func (f *fakeSource) Confirm(int64, time.Time) {}
 
+func (f *fakeSource) Hold(revocations []*rpc.Revocation) {
+	f.board.Revoked.Update(func(old map[string]board.Revocation) map[string]board.Revocation {
+		next := maps.Clone(old)
+
+		for _, each := range revocations {
+			if next == nil {
+				next = map[string]board.Revocation{}
+			}
+
+			next[each.Key] = board.Revocation{Key: each.Key}
+		}
+
+		return next
+	})
+}
+
 // fakeTable is a table that may be down.
 type fakeTable struct {
 	table.Memory
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -130,7 +130,8 @@
 	err := f.pull(ctx)
 	f.publishFresh()
 
-	if err == nil {
+	// Agents leave it to the few entries to commit, so that they do not race for the head.
+	if err == nil && f.Peers != nil {
 		f.commitHeld(ctx)
 	}
 }
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
 func noDelay() time.Duration { return 0 }
@@ -117,6 +118,28 @@
 	})
 }
 
+// Guards against agents that ignore a revocation held by entries, keep it after it is committed, or commit it themselves.
+func TestAgentHoldsRevocation(t *testing.T) {
+	inWorld(t, []string{"a"}, func(w *world) {
+		t := w.t
+		shared := &board.Board{}
+		agent := &follow.Follower{Board: shared, Store: &store.Store{Table: view{w, "agent"}}, Period: follow.AgentPeriod}
+
+		go func() { _ = agent.Run(w.ctx) }()
+
+		time.Sleep(5 * time.Second)
+		agent.Hold([]*rpc.Revocation{{Key: "key-a", Change: "change-1"}})
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, keys.StateOf(shared.Document.Value(), shared.Revoked.Value(), "key-a"), keys.StateRevoked)
+		assert.Assert(t, !shared.Document.Value().Keys["key-a"].Revoked, "committed by the agent")
+
+		assert.Equal(t, w.process(0).revoke("key-a"), http.StatusOK)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, shared.Document.Value().Keys["key-a"].Revoked)
+		assert.Equal(t, len(shared.Revoked.Value()), 0)
+	})
+}
+
 // Guards against a revocation that is lost in a table outage, stays at one entry, or is committed twice.
 func TestRevocationDuringTableOutage(t *testing.T) {
 	inWorld(t, []string{"a", "a", "b", "b", "c"}, func(w *world) {
--- a/internal/config/follow/peers.go
+++ b/internal/config/follow/peers.go
@@ -96,7 +96,7 @@
 		return
 	}
 
-	f.hold(reply.GetRevocations())
+	f.Hold(reply.GetRevocations())
 
 	if err := f.learn(reply); err != nil {
 		logger.WithFields(logrus.Fields{"peer": peer.Address}).WithError(err).Warn("configuration of a peer was not applied")
@@ -195,7 +195,7 @@
 
 	return &rpc.SyncRequest{
 		RequestId: ident.New("sync"), Entry: f.Self.Name, Boot: f.Self.Boot, Domain: f.Self.Domain,
-		ConfigVersion: version, TableAgeMs: f.tableAge(), Revocations: f.held(), WantAfter: max(version, 0),
+		ConfigVersion: version, TableAgeMs: f.tableAge(), Revocations: Messages(f.Board.Revoked.Value()), WantAfter: max(version, 0),
 	}
 }
 
--- a/internal/config/follow/revoke.go
+++ b/internal/config/follow/revoke.go
@@ -23,7 +23,8 @@
 	f.SyncAll(ctx)
 }
 
-func (f *Follower) hold(revocations []*rpc.Revocation) {
+// Hold holds revocations that another process holds, until the document contains them.
+func (f *Follower) Hold(revocations []*rpc.Revocation) {
 	for _, r := range revocations {
 		f.holdOne(board.Revocation{
 			Key: r.GetKey(), Author: r.GetAuthor(), Reason: r.GetReason(),
@@ -68,8 +69,8 @@
 	}
 }
 
-func (f *Follower) held() []*rpc.Revocation {
-	held := f.Board.Revoked.Value()
+// Messages returns the messages that carry held revocations to another process.
+func Messages(held map[string]board.Revocation) []*rpc.Revocation {
 	list := make([]*rpc.Revocation, 0, len(held))
 
 	for _, key := range slices.Sorted(maps.Keys(held)) {
--- a/internal/entry/relay/contact.go
+++ b/internal/entry/relay/contact.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
@@ -29,14 +30,18 @@
 	return rpc.NewDRPCAgentClient(r.Pool.Get(address))
 }
 
-// hello asks the agent for a ticket and checks that it is the one that is listed.
-func (r *Relay) hello(ctx context.Context, server *member.Server) (ticket, error) {
+// greet asks the agent for a ticket and checks that it is the one that is listed.
+func (r *Relay) greet(ctx context.Context, server *member.Server) (ticket, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 
 	id := ident.New("hello")
 
-	reply, err := r.client(server.Address).Hello(ctx, &rpc.HelloRequest{RequestId: id, Entry: r.Entry})
+	reply, err := r.client(server.Address).Hello(ctx, &rpc.HelloRequest{
+		RequestId:   id,
+		Entry:       r.Entry,
+		Revocations: follow.Messages(r.Revoked.Value()),
+	})
 	if err != nil {
 		return ticket{}, errors.Wrapf(err, "greet %s", server.Name)
 	}
@@ -49,7 +54,6 @@
 
 	r.tickets.keep(server.Address, reply.Boot, reply.Ticket, now)
 	r.report(server.Name, reply.Load)
-	server.Contact.Succeeded()
 
 	permit, _ := r.tickets.get(server.Address, now)
 
@@ -79,8 +83,9 @@
 	return func() { end() }
 }
 
-// watcher closes the stream of an agent that is silent and does not answer a Hello either, because the agent is frozen
-// or the network drops packets.
+// watcher sends a Hello to an agent that is silent. One that does not answer is frozen or the network drops packets: the
+// stream is closed, unless the work is never canceled. The Hello also tells the agent of held revocations while the request
+// waits in its queue.
 type watcher struct {
 	heard chan struct{}
 	ended chan struct{}
@@ -111,7 +116,7 @@
 			case <-time.After(silence):
 			}
 
-			if _, err := s.relay.hello(ctx, s.server); err != nil {
+			if _, err := s.relay.hello(ctx, s.server); err != nil && s.request.Work.repeatable() {
 				stop()
 				return
 			}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -29,8 +29,11 @@
 	View   *board.Cell[*member.View]
 	Picker *pick.Picker
 	Budget *retry.Budget
+	// Revoked holds the revocations that agents are told of; they do not sync with entries.
+	Revoked *board.Cell[map[string]board.Revocation]
 
-	tickets tickets
+	tickets   tickets
+	greetings greetings
 }
 
 // Do sends the request to one server after another until one gives a whole answer, within the retry budget and the bound
--- a/internal/entry/relay/session.go
+++ b/internal/entry/relay/session.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/config/follow"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/fleet/member"
@@ -50,7 +51,7 @@
 	started bool
 	resent  bool
 	resumes int
-	// watcher is nil for work that is never canceled.
+	// watcher is nil before the first sending.
 	watcher *watcher
 }
 
@@ -156,9 +157,10 @@
 
 	if s.request.Work.repeatable() {
 		defer s.cancelWith(ctx, stream, stop)()
-		defer s.watch(streamCtx, stop).end()
 	}
 
+	defer s.watch(streamCtx, stop).end()
+
 	s.written = true
 
 	if err := stream.Send(&rpc.RunUp{Body: &rpc.RunUp_Request{Request: message}}); err != nil {
@@ -227,6 +229,7 @@
 		Route:         s.request.Route,
 		ResidentKnown: s.relay.Picker.Known(s.server.Name),
 		Resume:        s.next,
+		Revocations:   follow.Messages(s.relay.Revoked.Value()),
 	}
 
 	switch work := s.request.Work.(type) {
--- a/internal/entry/server/agent_test.go
+++ b/internal/entry/server/agent_test.go
@@ -129,8 +129,10 @@
 	mu     sync.Mutex
 	frozen chan struct{}
 	// runs counts how often the backend server was given work.
-	runs     int
-	hellos   int
+	runs   int
+	hellos int
+	// told holds the revocations of the last Hello.
+	told     []*rpc.Revocation
 	requests []*rpc.RunRequest
 	cancels  int
 	// cutQueries is the number of queries whose connection breaks.
@@ -168,6 +170,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.hellos++
+	a.told = in.Revocations
 
 	return &rpc.HelloReply{RequestId: in.RequestId, Server: a.name, Boot: a.boot, Ticket: a.ticket()}, nil
 }
--- a/internal/entry/server/entry_test.go
+++ b/internal/entry/server/entry_test.go
@@ -151,6 +151,7 @@
 	stop   context.CancelFunc
 	ended  chan error
 	dial   func() (net.Conn, error)
+	board  *board.Board
 }
 
 func (f *fleet) start() *entry {
@@ -165,7 +166,7 @@
 	s.Settings.Place.VM = "entry-1"
 	s.Settings.Place.Domain = "a"
 
-	e := &entry{stop: stop, ended: make(chan error, 1), dial: listener.dial}
+	e := &entry{stop: stop, ended: make(chan error, 1), dial: listener.dial, board: shared}
 	e.client = &http.Client{Transport: &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) { return listener.dial() },
 	}}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -203,6 +203,8 @@
 		View:   &s.members.View,
 		Picker: &pick.Picker{Policy: s.Policy, Domain: s.Settings.Place.Domain, Region: s.Settings.Place.Region},
 		Budget: &retry.Budget{},
+
+		Revoked: &s.Board.Revoked,
 	}
 }
 
