--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -20,6 +20,10 @@
 	attemptCapacity = 20000
 	// attemptBytes bounds the bodies of the recorded outcomes, within the 256 MB that a process may use.
 	attemptBytes = 64 << 20
+	// callGrace is how long after the caller's deadline the answer of a call that must not be repeated is still awaited. A
+	// late answer is kept for the next call with the same idempotency key; a service that hangs does not hold its places
+	// for longer.
+	callGrace = 30 * time.Second
 )
 
 // attempts is the record of non-idempotent calls under a lock.
@@ -133,7 +137,10 @@
 	ended := make(chan worker.Outcome[service.Response], 1)
 
 	s.group.Go(func() {
-		outcome := s.call(ctx, j, request)
+		calling, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.item.Deadline.Add(callGrace))
+		defer cancel()
+
+		outcome := s.call(calling, j, request)
 		s.attempts.finish(time.Now(), id, outcome)
 		ended <- outcome
 	})
--- a/internal/agent/server/call_test.go
+++ b/internal/agent/server/call_test.go
@@ -90,6 +90,27 @@
 	})
 }
 
+// Guards the places of a plain service against a call that hangs, whose outcome is then not known.
+func TestCallHangs(t *testing.T) {
+	bubble(t, true, func(f *fixture) {
+		t := f.t
+
+		f.service.took = 24 * time.Hour
+		request := f.call("r1", "t1")
+		request.RemainingMs = 1000
+		f.begin(request)
+
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, f.query("t1", true).State, rpc.AttemptState_ATTEMPT_RUNNING, "an answer after the deadline is still recorded")
+
+		time.Sleep(time.Minute)
+		f.greet()
+		assert.Equal(t, f.query("t1", true).State, rpc.AttemptState_ATTEMPT_UNKNOWN)
+		assert.Equal(t, f.hello.Load.Running, int32(0))
+		assert.Equal(t, f.run(f.call("r2", "t1")).kind(), "failed outcome_unknown")
+	})
+}
+
 // Guards orders against a second run under duplicate sends, refusing queries, lost entries and expired tickets.
 func TestCallAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/internal/agent/worker/call.go
+++ b/internal/agent/worker/call.go
@@ -7,13 +7,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
-// Call makes one call to a plain service. A call that is not idempotent outlives ctx: it must run to its end, because
-// its outcome is recorded.
+// Call makes one call to a plain service. The outcome of a call that is not idempotent is unknown if ctx ends before it, so
+// its ctx must not end with the entry's stream.
 func Call(ctx context.Context, caller service.Caller, request service.Request, idempotent bool) Outcome[service.Response] {
-	if !idempotent {
-		ctx = context.WithoutCancel(ctx)
-	}
-
 	response, err := caller.Call(ctx, request)
 
 	switch {
