--- a/internal/admit/queue/class.go
+++ b/internal/admit/queue/class.go
@@ -3,7 +3,8 @@
 import "slices"
 
 // class is one priority class with start-time fair queueing (Goyal, Vin and Cheng, 1996) between accounts: it serves
-// the account whose next item has the smallest virtual start time.
+// the account whose next item has the smallest virtual start time. Items are charged at their declared cost when they are
+// served, and corrected to the tokens they used when they end.
 type class struct {
 	priority int32
 	// virtual is the virtual start time of the item served last; it never falls.
@@ -13,6 +14,8 @@
 	// flows holds the accounts with eligible items, and those whose next start lies ahead of virtual.
 	flows   map[string]*flow
 	blocked map[*Item]bool
+	// periods counts the periods of all flows.
+	periods int64
 }
 
 // flow is the queue of one account in one class.
@@ -23,6 +26,11 @@
 	// backlog is the sum of the costs of items, in tokens.
 	backlog float64
 	weight  float64
+	// period is the time from the arrival of an item while none waits to the next such arrival.
+	period int64
+	// carried is by how much charges of earlier periods have moved the start of this one ahead of the virtual time; at
+	// least 0.
+	carried float64
 }
 
 func (c *class) add(item *Item) {
@@ -38,7 +46,7 @@
 	}
 
 	if len(f.items) == 0 {
-		f.start = max(f.start, c.virtual)
+		c.begin(f)
 	}
 
 	f.weight = item.Weight
@@ -47,6 +55,34 @@
 	c.backlog += float64(item.Cost)
 }
 
+// begin starts a period of a flow.
+func (c *class) begin(f *flow) {
+	c.periods++
+	f.period = c.periods
+	f.carried = max(0, f.start-c.virtual)
+	f.start = max(f.start, c.virtual)
+}
+
+// credit takes back a part of the charge of an item that was served. The charge of an earlier period counts only as far as
+// it has delayed the present one; with more, an account could save up credit while it has nothing waiting.
+func (c *class) credit(item *Item, amount float64) {
+	f := c.flows[item.Account]
+	if f == nil {
+		return
+	}
+
+	if f.period != item.period {
+		amount = min(amount, f.carried)
+		f.carried -= amount
+	}
+
+	f.start -= amount
+
+	if len(f.items) == 0 {
+		c.forget()
+	}
+}
+
 func (c *class) pop() *Item {
 	var first *flow
 
@@ -65,6 +101,7 @@
 	first.items = first.items[1:]
 
 	c.virtual = max(c.virtual, first.start)
+	item.period = first.period
 	first.start += float64(item.Cost) / first.weight
 	c.removed(first, item)
 
--- a/internal/admit/queue/queue.go
+++ b/internal/admit/queue/queue.go
@@ -30,6 +30,8 @@
 
 	// sequence orders items by arrival.
 	sequence int64
+	// period is the period of its flow in which the item was charged.
+	period int64
 }
 
 // Pace is how fast waiting requests are started.
@@ -136,6 +138,14 @@
 	return true
 }
 
+// Settle corrects the charge of a popped item to the tokens that it used. Call it once, when the item's work has ended.
+// Tokens beyond the declared cost are not charged.
+func (q *Queue) Settle(item *Item, used int64) {
+	if unused := item.Cost - max(used, 0); unused > 0 {
+		q.class(item.Class).credit(item, float64(unused)/item.Weight)
+	}
+}
+
 func (q *Queue) removed() {
 	q.length--
 	invariant.Check(q.length >= 0, "queue.length", "length is %d", q.length)
--- a/internal/admit/queue/queue_test.go
+++ b/internal/admit/queue/queue_test.go
@@ -1,7 +1,9 @@
 package queue_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -15,6 +17,13 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
+// TestMain fixes the seed of the randomised tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+
+	os.Exit(m.Run())
+}
+
 var now = time.Unix(1000, 0)
 
 func item(id, account string, class int32, cost int64) *queue.Item {
--- a/internal/agent/server/call.go
+++ b/internal/agent/server/call.go
@@ -178,7 +178,7 @@
 		s.gate.observe(now, j, ramp.First, now.Sub(j.started), 1)
 	}
 
-	s.gate.finish(now, j, outcome.Value != nil)
+	s.gate.finish(now, j, outcome.Value != nil, j.item.Cost)
 
 	return outcome
 }
--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -217,6 +218,37 @@
 	})
 }
 
+// Guards an account that declares more output than it uses against a share that is as much too small.
+func TestFairnessByUse(t *testing.T) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
+		f.engine.set(func() { f.engine.pace = 50 * time.Millisecond })
+
+		for i := range 40 {
+			cautious, modest := f.generate(fmt.Sprint("cautious", i), "x"), f.generate(fmt.Sprint("modest", i), "x")
+			cautious.Account, cautious.Key, cautious.Cost = "a2", "k2", 100
+			f.begin(cautious)
+			f.begin(modest)
+		}
+
+		time.Sleep(1500 * time.Millisecond)
+		f.engine.set(func() {
+			count := 0
+
+			for _, id := range f.engine.asked {
+				if strings.HasPrefix(id, "cautious") {
+					count++
+				}
+			}
+
+			assert.Assert(t, len(f.engine.asked) >= 8 && len(f.engine.asked) <= 25, "%d requests were started", len(f.engine.asked))
+			assert.Assert(t, 3*count >= len(f.engine.asked), "%d of %d", count, len(f.engine.asked))
+		})
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards the worst-served account while another one sends five times as much.
 func TestFairness(t *testing.T) {
 	bubble(t, false, func(f *fixture) {
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -187,11 +187,11 @@
 		g.release(j)
 	}
 
-	g.vacate(now, j)
+	g.vacate(now, j, 0)
 }
 
-// finish ends a job that ran; well says that it ran to its end.
-func (g *gate) finish(now time.Time, j *job, well bool) {
+// finish ends a job that ran; well says that it ran to its end, and used is what it used of its cost, in tokens.
+func (g *gate) finish(now time.Time, j *job, well bool, used int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
@@ -200,10 +200,10 @@
 		g.ramp.Complete(j.epoch)
 	}
 
-	g.vacate(now, j)
+	g.vacate(now, j, used)
 }
 
-func (g *gate) vacate(now time.Time, j *job) {
+func (g *gate) vacate(now time.Time, j *job, used int64) {
 	if !j.place {
 		return
 	}
@@ -211,6 +211,7 @@
 	j.place = false
 	g.running--
 	g.cost -= j.item.Cost
+	g.queue.Settle(&j.item, used)
 	invariant.Check(g.running >= 0, "gate.running", "%d requests are running", g.running)
 	g.release(j)
 	g.dispatch(now)
--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -119,7 +119,7 @@
 		defer cancel()
 
 		outcome := generation.Run(ctx, added.answer)
-		s.ended(j, request, outcome)
+		s.ended(j, request, outcome, added.answer.Output())
 	})
 
 	return added, nil
@@ -156,9 +156,15 @@
 	return ramp.Next
 }
 
-func (s *Server) ended(j *job, request *rpc.RunRequest, outcome worker.Outcome[engine.Event]) {
+// ended gives back the place of a generation. A request that the engine refused used nothing; another one used its prompt and
+// the output tokens.
+func (s *Server) ended(j *job, request *rpc.RunRequest, outcome worker.Outcome[engine.Event], output int64) {
+	used := request.GetGenerate().PromptTokens + output
+
 	if outcome.Refused {
 		s.runs.remove(request.RequestId)
+
+		used = 0
 	} else {
 		s.runs.end(request.RequestId)
 	}
@@ -167,7 +173,7 @@
 		s.gate.lost(time.Now(), j.waiter.Adapter)
 	}
 
-	s.gate.finish(time.Now(), j, outcome.Value != nil)
+	s.gate.finish(time.Now(), j, outcome.Value != nil, used)
 }
 
 // resume continues the answer of a generation for an entry whose connection broke.
