Read the engine's state again after a pause

An agent process that was paused after its reading unloaded an adapter that a newer process used, at engines that do not check fencing numbers.

--- a/internal/agent/orders/orders.go
+++ b/internal/agent/orders/orders.go
@@ -16,6 +16,10 @@
 // orderTimeout bounds one order; a load takes a quarter second, and longer when the weight store is busy.
 const orderTimeout = 30 * time.Second
 
+// checkAge is the age above which a reading of the engine's state is not acted on. It is older when this process was paused
+// meanwhile, and another agent process may have used the engine since.
+const checkAge = time.Second
+
 // ErrInUse says that the engine runs requests on the adapter to unload.
 var ErrInUse = errors.New("the adapter to unload is in use at the engine")
 
@@ -84,7 +88,7 @@
 
 // check reads the engine's state again, because an engine without fencing carries out outdated orders as well.
 func (o *Orders) check(ctx context.Context, load Load) error {
-	report, err := o.Engine.Report(ctx)
+	report, err := o.read(ctx)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "read the engine's state before an order"), ErrNotStarted)
 	}
@@ -100,6 +104,22 @@
 	return nil
 }
 
+// read returns a recent reading of the engine's state.
+func (o *Orders) read(ctx context.Context) (engine.Report, error) {
+	for {
+		asked := time.Now()
+
+		report, err := o.Engine.Report(ctx)
+		if err != nil || time.Since(asked) <= checkAge {
+			return report, err
+		}
+
+		if ctx.Err() != nil {
+			return engine.Report{}, ctx.Err()
+		}
+	}
+}
+
 func (o *Orders) order(ctx context.Context, action engine.Action, adapter engine.Adapter, number int64) error {
 	err := o.Engine.Order(ctx, engine.Order{ID: ident.New("order"), Action: action, Adapter: adapter, Fence: number})
 
