--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 # Starts stand-ins, agents and entries as processes on loopback, shows calls and operations, and stops what it started.
 demo: build
 	go run ./cmd/demo
+
+# Long randomised runs in virtual time: one run of two virtual minutes for each seed from SEED on.
+soak:
+	go test -count=1 -timeout 0 -v -run '^TestSoakLong$$' ./internal/trial/soak -soak.seed $(SEED) -soak.minutes $(MINUTES)
