--- a/internal/trial/soak/fleet.go
+++ b/internal/trial/soak/fleet.go
@@ -141,7 +141,7 @@
 	server.Settings.Operators = []settings.Operator{{Name: "soak", Hash: keys.Hash(operatorToken)}}
 
 	compose.Entry(server, f.platform(made))
-	made.run(server.Run)
+	made.run(f.network, server.Run)
 	f.track(made)
 
 	f.mu.Lock()
@@ -202,7 +202,7 @@
 
 	f.list.Put(b.listed(false))
 	compose.Agent(server, f.platform(made), f.network.dialer(made))
-	made.run(server.Run)
+	made.run(f.network, server.Run)
 	f.track(made)
 
 	f.mu.Lock()
--- a/internal/trial/soak/process.go
+++ b/internal/trial/soak/process.go
@@ -23,8 +23,8 @@
 	return &process{name: name, domain: domain, dead: make(chan struct{}), done: make(chan struct{})}
 }
 
-// run starts the process.
-func (p *process) run(serve func(ctx context.Context) error) {
+// run starts the process. Its connections close when it ends, as the operating system does it.
+func (p *process) run(network *Network, serve func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 
@@ -32,14 +32,19 @@
 		defer close(p.done)
 
 		_ = serve(ctx)
+		p.end(network)
 	}()
 }
 
 // kill cuts the process off at once. Its goroutines then end by their own shutdown, whose effects reach nobody.
 func (p *process) kill(network *Network) {
+	p.end(network)
+	p.stop()
+}
+
+func (p *process) end(network *Network) {
 	p.once.Do(func() { close(p.dead) })
 	network.sever(p)
-	p.stop()
 }
 
 func (p *process) gone() bool {
--- a/internal/trial/soak/record.go
+++ b/internal/trial/soak/record.go
@@ -73,7 +73,8 @@
 
 	for _, each := range r.answers {
 		if each.nonce == nonce {
-			text += fmt.Sprintf("%s to %s at %s: %s; ", each.sent.Format(time.StampMilli), each.ended.Format(time.StampMilli), each.entry, each.class())
+			text += fmt.Sprintf("%s@%s %s to %s at %s: %s %v; ", each.adapter, each.version,
+				each.sent.Format(time.StampMilli), each.ended.Format(time.StampMilli), each.entry, each.class(), each.err)
 		}
 	}
 
