Read the claim of an order again before its outcome is called unknown

When an agent restarts between claim and arrival, the entry that claimed gives the attempt up or claims another. A second call with the same key, at the same moment, was told that the outcome was unknown although the row already held it.

--- a/internal/order/claim/claim.go
+++ b/internal/order/claim/claim.go
@@ -140,9 +140,29 @@
 		return nil, nil
 	case rpc.AttemptState_ATTEMPT_QUEUED, rpc.AttemptState_ATTEMPT_RUNNING:
 		return nil, fault.New(fault.InProgress, "the first call with this idempotency key is still running")
-	default:
-		return nil, fault.New(fault.OutcomeUnknown, "the outcome of the first call with this idempotency key is not known")
 	}
+
+	if o.settled(ctx) {
+		return o.existing(ctx)
+	}
+
+	return nil, fault.New(fault.OutcomeUnknown, "the outcome of the first call with this idempotency key is not known")
+}
+
+// settled waits for the grace time and reports whether the claim has changed meanwhile: the entry that wrote it may have
+// stored the outcome, or claimed another attempt because this one was not run.
+func (o *order) settled(ctx context.Context) bool {
+	before := o.version
+	timer := time.NewTimer(dispatchGrace)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	}
+
+	return o.read(ctx) == nil && o.version != before
 }
 
 // ours reports whether the row is a claim of this call, whose attempt was not run.
--- a/internal/order/claim/claim_test.go
+++ b/internal/order/claim/claim_test.go
@@ -322,6 +322,30 @@
 	})
 }
 
+// Guards against "outcome unknown" for an order whose claim another entry is just giving up, because the agent restarted
+// before the attempt arrived.
+func TestClaimSettlesMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.slow = 100 * time.Millisecond
+		claims := &claim.Claims{Table: w, Agents: w}
+		first := make(chan fault.Kind)
+
+		go func() {
+			_, err := claims.Do(t.Context(), "key", order("1"))
+			first <- kindOf(err)
+		}()
+
+		synctest.Wait()
+		w.restart()
+
+		result, err := claims.Do(t.Context(), "key", order("2"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(result.Done.Body), "run 1")
+		assert.Equal(t, <-first, fault.AttemptRefused)
+	})
+}
+
 // Guards against double runs, differing outcomes and false "not run" under several faults, agent restarts and concurrent
 // calls through several entries.
 func TestOrdersRunAtMostOnce(t *testing.T) {
