--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,11 @@
 # Long randomised runs in virtual time: one run of two virtual minutes for each seed from SEED on.
 soak:
 	go test -count=1 -timeout 0 -v -run '^TestSoakLong$$' ./internal/trial/soak -soak.seed $(SEED) -soak.minutes $(MINUTES)
+
+# Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
+slopes:
+	go run ./cmd/slopes
+
+# Runs the benchmarks of the decision packages.
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
--- a/internal/admit/queue/class.go
+++ b/internal/admit/queue/class.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// leastForget is the number of accounts below which none is forgotten.
+const leastForget = 16
+
 // class is one priority class with start-time fair queueing (Goyal, Vin and Cheng, 1996) between accounts: it serves
 // the account whose next item has the smallest virtual start time. Items are charged at their declared cost when they are
 // served, and corrected to the tokens they used when they end.
@@ -11,11 +14,16 @@
 	virtual float64
 	// backlog is the sum of the costs of eligible items, in tokens.
 	backlog float64
-	// flows holds the accounts with eligible items, and those whose next start lies ahead of virtual.
-	flows   map[string]*flow
+	// flows holds the accounts with eligible items, those whose next start lies ahead of virtual, and some others whose
+	// start no longer matters.
+	flows map[string]*flow
+	// active holds the flows with eligible items, in no order. Decisions look at each of them, which a map makes slow.
+	active  []*flow
 	blocked map[*Item]bool
 	// periods counts the periods of all flows.
 	periods int64
+	// forgetAt is the number of flows from which on forget looks at them.
+	forgetAt int
 }
 
 // flow is the queue of one account in one class.
@@ -31,6 +39,8 @@
 	// carried is by how much charges of earlier periods have moved the start of this one ahead of the virtual time; at
 	// least 0.
 	carried float64
+	// at is the position in active; it counts only while there are items.
+	at int
 }
 
 func (c *class) add(item *Item) {
@@ -47,6 +57,8 @@
 
 	if len(f.items) == 0 {
 		c.begin(f)
+		f.at = len(c.active)
+		c.active = append(c.active, f)
 	}
 
 	f.weight = item.Weight
@@ -86,8 +98,8 @@
 func (c *class) pop() *Item {
 	var first *flow
 
-	for _, f := range c.flows {
-		if len(f.items) > 0 && (first == nil || f.before(first)) {
+	for _, f := range c.active {
+		if first == nil || f.before(first) {
 			first = f
 		}
 	}
@@ -143,25 +155,41 @@
 	c.backlog -= float64(item.Cost)
 
 	if len(f.items) == 0 {
+		c.deactivate(f)
 		c.forget()
 	}
 }
 
-// forget drops the accounts without items whose next start is not ahead of the virtual time.
+func (c *class) deactivate(f *flow) {
+	last := len(c.active) - 1
+	c.active[f.at] = c.active[last]
+	c.active[f.at].at = f.at
+	c.active[last] = nil
+	c.active = c.active[:last]
+}
+
+// forget drops the accounts without items whose next start is not ahead of the virtual time. It looks at all of them, so
+// it waits until their number has doubled.
 func (c *class) forget() {
+	if len(c.flows) < c.forgetAt {
+		return
+	}
+
 	for account, f := range c.flows {
 		if len(f.items) == 0 && f.start <= c.virtual {
 			delete(c.flows, account)
 		}
 	}
+
+	c.forgetAt = max(leastForget, 2*len(c.flows))
 }
 
 func (c *class) newest() *Item {
 	var last *Item
 
-	for _, f := range c.flows {
-		if count := len(f.items); count > 0 && (last == nil || f.items[count-1].sequence > last.sequence) {
-			last = f.items[count-1]
+	for _, f := range c.active {
+		if newest := f.items[len(f.items)-1]; last == nil || newest.sequence > last.sequence {
+			last = newest
 		}
 	}
 
@@ -181,13 +209,14 @@
 
 	var total float64
 
-	if own := c.flows[item.Account]; own != nil {
+	own := c.flows[item.Account]
+	if own != nil {
 		start = max(start, own.start) + own.backlog/item.Weight
 		total = own.backlog
 	}
 
-	for account, f := range c.flows {
-		if account == item.Account || len(f.items) == 0 || f.start > start {
+	for _, f := range c.active {
+		if f == own || f.start > start {
 			continue
 		}
 
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -32,6 +33,8 @@
 
 const (
 	component = "agent"
+	// mostFirst bounds the first epoch of the resident list; two processes rarely choose the same one.
+	mostFirst = 1 << 32
 	// drainPoll is the time between two looks at the work left during a drain.
 	drainPoll = 20 * time.Millisecond
 	// waitLog is the time between two log lines that say what the process waits for.
@@ -167,6 +170,7 @@
 	s.wake = make(chan struct{}, 1)
 	s.backend.plain = s.Engine == nil
 	s.gate.Wake = s.wakeLoader
+	s.gate.slots.First = 1 + rand.Int64N(mostFirst)
 	s.gate.jobs = map[*queue.Item]*job{}
 	s.tickets.valid = map[string]ticket{}
 	s.tickets.current = map[string]ticket{}
