--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -28,6 +28,9 @@
 	// tableRecent is the age of the table's last confirmation from which on peers of all failure domains are called. It is
 	// above the longest time between two polls of an entry, and leaves time for a round of calls before MaxAge.
 	tableRecent = 2 * time.Second
+	// firstRounds is the number of rounds in which a new process calls all failure domains. The first assignment of an
+	// account waits for contact with entries in several of them.
+	firstRounds = 4
 	// jitter spreads the polls of the fleet over time.
 	jitter = 0.2
 	// callTimeout bounds a read of the head and a call to a peer, so that several fit into MaxAge.
@@ -95,8 +98,8 @@
 	snapshotted int64
 	// entries is made from the VM list when it is needed.
 	entries atomic.Pointer[listed]
-	// turn counts the calls of syncNext; only the loop of the peers uses it.
-	turn int
+	// rounds counts the calls of refreshPeers; only the loop of the peers uses it.
+	rounds int
 	once sync.Once
 }
 
@@ -138,7 +141,8 @@
 	err := f.pull(ctx)
 	f.publishFresh()
 
-	if err == nil {
+	// Agents leave it to the few entries to commit, so that they do not race for the head.
+	if err == nil && f.Peers != nil {
 		f.commitHeld(ctx)
 	}
 }
@@ -146,7 +150,9 @@
 // refreshPeers calls an entry in every failure domain when the peers' confirmation may be needed, and otherwise a single
 // one: in a fleet of 7 failure domains, calls to all of them would take 1.9 KB/s of the 3 KB/s that a node may spend.
 func (f *Follower) refreshPeers(ctx context.Context) {
-	if f.tableSuffices() {
+	f.rounds++
+
+	if f.rounds > firstRounds && f.tableSuffices() {
 		f.syncNext(ctx)
 	} else {
 		f.syncDomains(ctx)
