--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,8 @@
 # Starts stand-ins, agents and entries as processes on loopback, shows calls and operations, and stops what it started.
 demo: build
 	go run ./cmd/demo
+
+
+# Compares policies in virtual time; prints one line for each policy and measure.
+measure:
+	go run ./cmd/measure -seed $(SEED)
--- a/internal/adapter/slots/slots.go
+++ b/internal/adapter/slots/slots.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// halfLife is the time in which a past use loses half its weight in the use frequency.
-	halfLife = 5 * time.Minute
+	// defaultHalfLife is the time in which a past use loses half its weight in the use frequency.
+	defaultHalfLife = 5 * time.Minute
 	// reportLag is how far an engine's report may lag behind its state.
 	reportLag = 2 * time.Second
 	// firstBackoff and lastBackoff bound the pause after failed loads; it doubles with each failure.
@@ -59,6 +59,8 @@
 type Slots struct {
 	// Capacity is the number of adapters that fit at once.
 	Capacity int
+	// HalfLife is the time in which a past use loses half its weight in the use frequency; 0 means five minutes.
+	HalfLife time.Duration
 
 	resident map[engine.Adapter]*slot
 	wanted   map[engine.Adapter]*want
@@ -104,7 +106,7 @@
 	s.prepare()
 
 	if found := s.resident[waiter.Adapter]; found != nil && !s.leaving(waiter.Adapter) {
-		found.use(now)
+		found.use(now, s.halfLife())
 		s.pin(found, waiter)
 
 		return Pinned, nil
@@ -330,7 +332,7 @@
 			continue
 		}
 
-		if uses := candidate.frequency(now); !found || uses < score {
+		if uses := candidate.frequency(now, s.halfLife()); !found || uses < score {
 			best, score, found = adapter, uses, true
 		}
 	}
@@ -376,7 +378,7 @@
 	}
 
 	delete(s.wanted, plan.Adapter)
-	added.uses = added.frequency(now) + float64(w.uses)
+	added.uses = added.frequency(now, s.halfLife()) + float64(w.uses)
 	added.used = now
 
 	var waiters []*Waiter
@@ -489,12 +491,20 @@
 	s.removed = map[engine.Adapter]time.Time{}
 }
 
-func (s *slot) use(now time.Time) {
-	s.uses = s.frequency(now) + 1
+func (s *Slots) halfLife() time.Duration {
+	if s.HalfLife > 0 {
+		return s.HalfLife
+	}
+
+	return defaultHalfLife
+}
+
+func (s *slot) use(now time.Time, halfLife time.Duration) {
+	s.uses = s.frequency(now, halfLife) + 1
 	s.used = now
 }
 
-func (s *slot) frequency(now time.Time) float64 {
+func (s *slot) frequency(now time.Time, halfLife time.Duration) float64 {
 	age := now.Sub(s.used).Seconds() / halfLife.Seconds()
 	return s.uses * math.Exp2(-age)
 }
