Refuse long waits of generations only

A plain call that must not be repeated is sent to no other server after a refusal, so it keeps its place in the queue.

--- a/internal/admit/queue/queue.go
+++ b/internal/admit/queue/queue.go
@@ -11,7 +11,7 @@
 // defaultRetry is the advice to a refused request while no service rate was observed yet.
 const defaultRetry = time.Second
 
-// DefaultPatience is the Patience of an agent's queue. Shorter ones refuse requests at three servers in a row while a
+// DefaultPatience is the Patience of requests that another server may serve as well. Shorter ones refuse requests at three servers in a row while a
 // failure domain is out; longer ones let requests wait at a busy server while others are idle.
 const DefaultPatience = 4 * time.Second
 
@@ -27,6 +27,9 @@
 	Weight float64
 	// Deadline is the last moment at which the request may start.
 	Deadline time.Time
+	// Patience is the longest expected wait for a place with which the item is accepted, so that the request can go to a less
+	// busy server instead; 0 means until the deadline.
+	Patience time.Duration
 	// Blocked items count towards the length and are not served until Unblock.
 	Blocked bool
 	// Delay is the time that a blocked item is expected to stay blocked.
@@ -47,11 +50,7 @@
 // Queue holds waiting requests. It is not safe for concurrent use.
 type Queue struct {
 	// Limit is the highest number of items, blocked ones included.
-	Limit int
-	// Patience is the longest expected wait for a place with which an item is accepted, so that the request can go to a less
-	// busy server instead; 0 means until the item's deadline.
-	Patience time.Duration
-
+	Limit    int
 	classes  []*class
 	length   int
 	sequence int64
@@ -78,8 +77,8 @@
 		return nil, fault.New(fault.Overloaded, "cannot start before its deadline").WithRetry(late)
 	}
 
-	if q.Patience > 0 && wait > q.Patience {
-		return nil, fault.New(fault.Overloaded, "would wait too long").WithRetry(wait - q.Patience)
+	if item.Patience > 0 && wait > item.Patience {
+		return nil, fault.New(fault.Overloaded, "would wait too long").WithRetry(wait - item.Patience)
 	}
 
 	if q.length >= q.Limit {
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -56,7 +56,6 @@
 
 func (g *gate) configure(limits limits) {
 	g.queue.Limit = limits.queue
-	g.queue.Patience = queue.DefaultPatience
 	g.ramp.Configure(limits.ramp, limits.ceiling)
 }
 
