--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 # Runs the benchmarks of the decision packages.
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
+
+# Compares policies in virtual time; prints one line for each policy and measure.
+measure:
+	go run ./cmd/measure -seed $(SEED)
--- a/internal/adapter/slots/slots.go
+++ b/internal/adapter/slots/slots.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// halfLife is the time in which a past use loses half its weight in the use frequency.
-	halfLife = 5 * time.Minute
+	// defaultHalfLife is the time in which a past use loses half its weight in the use frequency.
+	defaultHalfLife = 5 * time.Minute
 	// reportLag is how far an engine's report may lag behind its state.
 	reportLag = 2 * time.Second
 	// firstBackoff and lastBackoff bound the pause after failed loads; it doubles with each failure.
@@ -62,6 +62,8 @@
 	// First is the epoch before the first change. Processes choose it at random, so that an epoch that was known of an
 	// earlier process does not pass for one of this process.
 	First int64
+	// HalfLife is the time in which a past use loses half its weight in the use frequency; 0 means five minutes.
+	HalfLife time.Duration
 
 	resident map[engine.Adapter]*slot
 	wanted   map[engine.Adapter]*want
@@ -107,7 +109,7 @@
 	s.prepare()
 
 	if found := s.resident[waiter.Adapter]; found != nil && !s.leaving(waiter.Adapter) {
-		found.use(now)
+		found.use(now, s.halfLife())
 		s.pin(found, waiter)
 
 		return Pinned, nil
@@ -292,7 +294,9 @@
 			continue
 		}
 
-		if !found || top > class || top == class && w.since.Before(since) {
+		tied := found && top == class && w.since.Equal(since) && before(adapter, best)
+
+		if !found || top > class || top == class && w.since.Before(since) || tied {
 			best, class, since, found = adapter, top, w.since, true
 		}
 	}
@@ -333,7 +337,10 @@
 			continue
 		}
 
-		if uses := candidate.frequency(now); !found || uses < score {
+		uses := candidate.frequency(now, s.halfLife())
+		tied := found && uses == score && older(candidate, adapter, s.resident[best], best)
+
+		if !found || uses < score || tied {
 			best, score, found = adapter, uses, true
 		}
 	}
@@ -341,6 +348,24 @@
 	return best, found
 }
 
+// older decides between equally frequent adapters: the one whose last use is longer ago, or else the first by name.
+func older(a *slot, first engine.Adapter, b *slot, second engine.Adapter) bool {
+	if !a.used.Equal(b.used) {
+		return a.used.Before(b.used)
+	}
+
+	return before(first, second)
+}
+
+// before orders adapters by name and version, so that a choice does not depend on the order of a map.
+func before(a, b engine.Adapter) bool {
+	if a.Name != b.Name {
+		return a.Name < b.Name
+	}
+
+	return a.Version < b.Version
+}
+
 // Unloaded records that the victim of the current load was unloaded; it does nothing after a restart of the engine.
 func (s *Slots) Unloaded(now time.Time, adapter engine.Adapter) {
 	gone := s.resident[adapter]
@@ -379,7 +404,7 @@
 	}
 
 	delete(s.wanted, plan.Adapter)
-	added.uses = added.frequency(now) + float64(w.uses)
+	added.uses = added.frequency(now, s.halfLife()) + float64(w.uses)
 	added.used = now
 
 	var waiters []*Waiter
@@ -492,12 +517,20 @@
 	s.removed = map[engine.Adapter]time.Time{}
 }
 
-func (s *slot) use(now time.Time) {
-	s.uses = s.frequency(now) + 1
+func (s *Slots) halfLife() time.Duration {
+	if s.HalfLife > 0 {
+		return s.HalfLife
+	}
+
+	return defaultHalfLife
+}
+
+func (s *slot) use(now time.Time, halfLife time.Duration) {
+	s.uses = s.frequency(now, halfLife) + 1
 	s.used = now
 }
 
-func (s *slot) frequency(now time.Time) float64 {
+func (s *slot) frequency(now time.Time, halfLife time.Duration) float64 {
 	age := now.Sub(s.used).Seconds() / halfLife.Seconds()
 	return s.uses * math.Exp2(-age)
 }
