Wait for token shares before the tests with real processes call

Cause: the first assignment of an account waits up to 5 s for contact with an entry in each failure domain. Calls made at once after the first configuration were refused with limit_unavailable, and TestTerminate and TestAgentFrozenWithQueue failed.

Change: the tests wait, within the 7 s in which a change must be in force, until the account has a holder in each failure domain.

--- a/internal/trial/fleet/world_test.go
+++ b/internal/trial/fleet/world_test.go
@@ -104,6 +104,13 @@
 	assert.NilError(w.t, w.AwaitReady(w.ctx))
 
 	w.key, w.keyID = w.grant()
+
+	// The first assignment of an account waits up to 5 s for contact with an entry in each failure domain.
+	w.until("every account has holders", inForce, func() bool {
+		output, err := w.Ctl(w.ctx, "entry-b", "status")
+
+		return err == nil && strings.Count(output.Text, "pistas ") == len(fleet.Domains)
+	})
 }
 
 // grant returns a key that every entry knows.
