--- a/internal/agent/server/generate.go
+++ b/internal/agent/server/generate.go
@@ -114,12 +114,14 @@
 	queueWait.Update(j.started.Sub(j.loaded))
 
 	generation := s.generation(j, request)
+	generation.Ended = func(outcome worker.Outcome[engine.Event]) {
+		s.ended(j, request, outcome, added.answer.Output())
+	}
 
 	s.group.Go(func() {
 		defer cancel()
 
-		outcome := generation.Run(ctx, added.answer)
-		s.ended(j, request, outcome, added.answer.Output())
+		generation.Run(ctx, added.answer)
 	})
 
 	return added, nil
--- a/internal/agent/worker/generate.go
+++ b/internal/agent/worker/generate.go
@@ -36,19 +36,24 @@
 	Pace func(first bool, took time.Duration, tokens int64)
 	// Broken is called when the engine's stream broke, before it is resumed or given up. May be nil.
 	Broken func(ctx context.Context)
+	// Ended is called with the outcome before readers of the answer see it, so that the load which is reported with the
+	// outcome no longer includes the request. May be nil.
+	Ended func(outcome Outcome[engine.Event])
 }
 
-// Run runs the generation, writes its events to the answer and ends it. It returns the outcome.
-func (g *Generation) Run(ctx context.Context, answer *Answer) Outcome[engine.Event] {
+// Run runs the generation, writes its events to the answer and ends it.
+func (g *Generation) Run(ctx context.Context, answer *Answer) {
 	outcome := g.run(ctx, answer)
 
 	if outcome.Err != nil && !outcome.Refused {
 		g.cancel(ctx)
 	}
 
-	answer.end(outcome)
+	if g.Ended != nil {
+		g.Ended(outcome)
+	}
 
-	return outcome
+	answer.end(outcome)
 }
 
 func (g *Generation) run(ctx context.Context, answer *Answer) Outcome[engine.Event] {
--- a/internal/agent/worker/worker_test.go
+++ b/internal/agent/worker/worker_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// Guards against an end of the answer that is sent with the load from before the request gave up its place.
+func TestEndedBeforeOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := &worker.Answer{}
+		calls := 0
+		generation := &worker.Generation{
+			Engine: &source{total: 3, text: "x"}, Request: engine.Request{ID: "r"},
+			Ended: func(worker.Outcome[engine.Event]) {
+				calls++
+				assert.Assert(t, answer.Outcome() == nil, "readers see the outcome already")
+			},
+		}
+
+		generation.Run(t.Context(), answer)
+		assert.Equal(t, calls, 1)
+		assert.Assert(t, answer.Outcome().Value != nil)
+	})
+}
+
 // Guards against a resumed answer with a gap, and against two readers that each get a part.
 func TestAttach(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
