--- a/internal/trial/session/recorder.go
+++ b/internal/trial/session/recorder.go
@@ -15,6 +15,8 @@
 	timing = regexp.MustCompile(`"(remainingMs|unixMs|created)":("?)\d+"?`)
 	// age matches such fields that are absent when they are 0.
 	age = regexp.MustCompile(`,?"(configAgeMs|loadWaitMs|queueWaitMs)":"\d+"`)
+	// count matches the numbers of requests at an agent; requests that end and start at the same moment race for them.
+	count = regexp.MustCompile(`"(running|queued)":\d+,`)
 )
 
 // Recorder collects messages in the order in which they are sent or received. The zero value is ready.
@@ -32,6 +34,7 @@
 	defer r.mu.Unlock()
 
 	text = randomID.ReplaceAllStringFunc(text, r.number)
+	text = count.ReplaceAllString(text, "")
 	text = age.ReplaceAllString(timing.ReplaceAllString(text, `"$1":${2}N$2`), "")
 
 	if to != "" {
--- a/internal/trial/session/session.go
+++ b/internal/trial/session/session.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +57,8 @@
 	// Engine is the model engine; nil with a plain service.
 	Engine *standin.Model
 
+	// opened counts the connections of the entry.
+	opened   atomic.Int64
 	network  network
 	table    outage
 	group    sync.WaitGroup
@@ -155,7 +158,9 @@
 		return nil, err
 	}
 
-	return &tapped{Conn: raw, recorder: &s.Recorder}, nil
+	latency := time.Duration(s.opened.Add(1)) * latencyStep
+
+	return &tapped{Conn: raw, recorder: &s.Recorder, latency: latency}, nil
 }
 
 func (s *Session) run(ctx context.Context, server entry.Controller) process {
--- a/internal/trial/session/wire.go
+++ b/internal/trial/session/wire.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -33,10 +34,16 @@
 	return P(new(T))
 }
 
+// latencyStep is the difference between the latencies of two connections. Answers that are sent at the same moment on several
+// connections arrive in the order in which the connections were opened.
+const latencyStep = time.Millisecond
+
 // tapped records the drpc messages on a connection of an entry to an agent.
 type tapped struct {
 	net.Conn
 	recorder *Recorder
+	// latency is the time that each answer is on its way.
+	latency time.Duration
 
 	mu sync.Mutex
 	// called is the path of the method that was called last.
@@ -54,6 +61,7 @@
 // Read implements net.Conn.
 func (t *tapped) Read(data []byte) (int, error) {
 	count, err := t.Conn.Read(data)
+	time.Sleep(t.latency)
 	t.note(&t.down, data[:count], false)
 
 	return count, err
