--- a/internal/trial/soak/caller.go
+++ b/internal/trial/soak/caller.go
@@ -60,8 +60,10 @@
 	status int
 	code   string
 	ran    string
-	text   string
-	body   string
+	// message is the error's text, for reports only.
+	message string
+	text    string
+	body    string
 	// words is the number of events with text, or the number of output tokens that a whole answer reports.
 	words int64
 	// whole says that the answer ended as the protocol wants.
@@ -281,8 +283,9 @@
 		Output int64 `json:"completion_tokens"`
 	} `json:"usage"`
 	Error *struct {
-		Code string `json:"code"`
-		Ran  string `json:"ran"`
+		Message string `json:"message"`
+		Code    string `json:"code"`
+		Ran     string `json:"ran"`
 	} `json:"error"`
 }
 
@@ -313,6 +316,7 @@
 	if found.Error != nil {
 		a.code = found.Error.Code
 		a.ran = found.Error.Ran
+		a.message = found.Error.Message
 
 		return nil
 	}
@@ -347,6 +351,7 @@
 		if found.Error != nil {
 			a.code = found.Error.Code
 			a.ran = found.Error.Ran
+			a.message = found.Error.Message
 		}
 
 		if text := found.text(); text != "" {
--- a/internal/trial/soak/network.go
+++ b/internal/trial/soak/network.go
@@ -170,7 +170,9 @@
 		return nil, ctx.Err()
 	}
 
-	n.connect(&link{network: n, from: from, to: target.owner, left: left, right: right, closed: make(chan struct{})})
+	n.connect(&link{
+		network: n, from: from, to: target.owner, near: near, far: far, left: left, right: right, closed: make(chan struct{}),
+	})
 
 	return near, nil
 }
@@ -189,7 +191,23 @@
 	}
 }
 
-// sever closes the connections and listeners of a process that has died.
+// release closes the ends that an ended process has held, as its operating system does; what it sent still arrives.
+func (n *Network) release(ended *process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for each := range n.links {
+		if each.from == ended {
+			_ = each.near.Close()
+		}
+
+		if each.to == ended {
+			_ = each.far.Close()
+		}
+	}
+}
+
+// sever closes the connections of a process that was killed, and drops what it sent last.
 func (n *Network) sever(dead *process) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -215,8 +233,10 @@
 
 // link is one connection: two pipes and a relay between them.
 type link struct {
-	network     *Network
-	from, to    *process
+	network  *Network
+	from, to *process
+	// near and far are the ends of the dialer and of the listener; left and right are the relay's.
+	near, far   net.Conn
 	left, right net.Conn
 	closed      chan struct{}
 	once        sync.Once
--- a/internal/trial/soak/process.go
+++ b/internal/trial/soak/process.go
@@ -32,19 +32,16 @@
 		defer close(p.done)
 
 		_ = serve(ctx)
-		p.end(network)
+		p.once.Do(func() { close(p.dead) })
+		network.release(p)
 	}()
 }
 
 // kill cuts the process off at once. Its goroutines then end by their own shutdown, whose effects reach nobody.
 func (p *process) kill(network *Network) {
-	p.end(network)
-	p.stop()
-}
-
-func (p *process) end(network *Network) {
 	p.once.Do(func() { close(p.dead) })
 	network.sever(p)
+	p.stop()
 }
 
 func (p *process) gone() bool {
--- a/internal/trial/soak/record.go
+++ b/internal/trial/soak/record.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// historyWindow is how far around a start the events are told.
+const historyWindow = 5 * time.Second
+
 // start is one request that a backend server accepted.
 type start struct {
 	// at is when the agent called the backend server.
@@ -73,13 +76,19 @@
 
 	for _, each := range r.answers {
 		if each.nonce == nonce {
-			text += fmt.Sprintf("%s@%s %s to %s at %s: %s %v; ", each.adapter, each.version,
-				each.sent.Format(time.StampMilli), each.ended.Format(time.StampMilli), each.entry, each.class(), each.err)
+			text += fmt.Sprintf("%s@%s %s to %s at %s: %s %s %v; ", each.adapter, each.version,
+				each.sent.Format(time.StampMilli), each.ended.Format(time.StampMilli), each.entry, each.class(), each.message, each.err)
 		}
 	}
 
 	for _, one := range r.starts[nonce] {
 		text += fmt.Sprintf("ran %s at %s; ", one.at.Format(time.StampMilli), one.server)
+
+		for _, each := range r.events {
+			if age := one.at.Sub(each.at); age.Abs() < historyWindow {
+				text += fmt.Sprintf("%s %s %s; ", each.at.Format(time.StampMilli), each.kind, each.name)
+			}
+		}
 	}
 
 	return text
--- a/internal/trial/soak/schedule.go
+++ b/internal/trial/soak/schedule.go
@@ -107,7 +107,9 @@
 	i.busy[target] = true
 	i.mu.Unlock()
 
+	i.fleet.record.note("begin", target)
 	run()
+	i.fleet.record.note("end", target)
 
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -56,3 +56,8 @@
 		t.Run(fmt.Sprint(plan.Seed), func(t *testing.T) { run(t, plan) })
 	}
 }
+
+// Guards graceful shutdowns, failure domains that leave and operators that race against being noticed by callers.
+func TestSoakMild(t *testing.T) {
+	run(t, soak.Plan{Seed: 5, Length: time.Minute, Faults: soak.MildFaults, Mild: true})
+}
