--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -96,13 +96,16 @@
 		time.Sleep(one.length)
 		i.fleet.network.cut(b.vm, b.name, false)
 	},
+	// The list works meanwhile: the design gives no time in which entries learn of it from a list that is down.
 	"leave": func(i *injector, b *backend, _ step) {
-		i.fleet.list.Put(b.listed(true))
-		i.fleet.record.note(eventLeaving, b.name)
-		time.Sleep(leaveNotice)
-		b.agent.stop()
-		<-b.agent.done
-		i.renew(b)
+		i.exclusive(listName, func() {
+			i.fleet.list.Put(b.listed(true))
+			i.fleet.record.note(eventLeaving, b.name)
+			time.Sleep(leaveNotice)
+			b.agent.stop()
+			<-b.agent.done
+			i.renew(b)
+		})
 	},
 	"replace": func(i *injector, b *backend, _ step) {
 		b.agent.kill(i.fleet.network)
@@ -145,9 +148,11 @@
 	"table slow":   func(i *injector, one step) { i.table(switches.State{Slow: slowTable}, one.length) },
 	"table lost":   func(i *injector, one step) { i.table(switches.State{Lost: lostAnswers}, one.length) },
 	"list outage": func(i *injector, one step) {
-		i.fleet.list.Switches.Set(switches.State{Outage: true})
-		time.Sleep(one.length)
-		i.fleet.list.Switches.Set(switches.State{})
+		i.exclusive(listName, func() {
+			i.fleet.list.Switches.Set(switches.State{Outage: true})
+			time.Sleep(one.length)
+			i.fleet.list.Switches.Set(switches.State{})
+		})
 	},
 	"weights slow": func(i *injector, one step) {
 		i.fleet.weights.Switches.Set(switches.State{Slow: slowTable})
