--- a/internal/config/follow/peers.go
+++ b/internal/config/follow/peers.go
@@ -67,8 +67,8 @@
 		return
 	}
 
-	f.turn++
-	peers := listed.byDomain[listed.peerDomains[f.turn%len(listed.peerDomains)]]
+	domain := listed.peerDomains[f.rounds%len(listed.peerDomains)]
+	peers := listed.byDomain[domain]
 
 	f.syncWith(ctx, []vms.VM{peers[rand.IntN(len(peers))]})
 }
