--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,17 @@
 demo: build
 	go run ./cmd/demo
 
+# Long randomised runs in virtual time: one run of two virtual minutes for each seed from SEED on.
+soak:
+	go test -count=1 -timeout 0 -v -run '^TestSoakLong$$' ./internal/trial/soak -soak.seed $(SEED) -soak.minutes $(MINUTES)
+
+# Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
+slopes:
+	go run ./cmd/slopes
+
+# Runs the benchmarks of the decision packages.
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
 
 # Compares policies in virtual time; prints one line for each policy and measure.
 measure:
