Kill the agent of streams that are known to run

Cause: TestAgentKilledDuringStreams killed an agent after the first output of any caller.

Change: the test waits until every one of three streams has output, picks the agent with most of them, and kills it while six more begin.

--- a/internal/trial/fleet/agent_test.go
+++ b/internal/trial/fleet/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -17,14 +18,19 @@
 	const tokens = 64
 
 	w := start(t, slowToken)
-	callers := w.stream(9, tokens, "entry-a", "entry-b", "entry-c")
-	<-callers.first
-	w.Process("agent-engine-" + w.busiest()).Kill()
-	callers.group.Wait()
+	sending := w.stream(3, tokens, "entry-a", "entry-b", "entry-c")
+	sending.running()
+
+	domain := w.busiest()
+	starting := w.stream(6, tokens, "entry-a", "entry-b", "entry-c")
+
+	w.Process("agent-engine-" + domain).Kill()
+	sending.group.Wait()
+	starting.group.Wait()
 
 	failed := 0
 
-	for _, each := range callers.all {
+	for _, each := range slices.Concat(sending.all, starting.all) {
 		assert.NilError(t, each.err)
 		assert.Assert(t, each.whole(tokens) || each.failed != "", "silently cut: %+v", each)
 
