--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -100,7 +100,7 @@
 	entries atomic.Pointer[listed]
 	// rounds counts the calls of refreshPeers; only the loop of the peers uses it.
 	rounds int
-	once sync.Once
+	once   sync.Once
 }
 
 // Run polls until the context ends. Table, peers and snapshots have loops of their own, so that a slow store does not
