Number residency epochs in recorded sessions and wait for a freeze

Cause: agents count residency epochs from a random number since a restart could pass for the earlier process, so recorded sessions differed between runs. TestEntryFrozen once saw a call served that it had sent right after SIGSTOP, on a busy host; threads stop a moment after the signal.

Change: the recorder replaces epochs by the order of their appearance; Freeze returns when every thread has stopped.

--- a/internal/trial/process/process.go
+++ b/internal/trial/process/process.go
@@ -2,10 +2,12 @@
 package process
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -15,6 +17,13 @@
 // stopTimeout bounds a graceful stop; a process that takes longer is killed.
 const stopTimeout = 10 * time.Second
 
+const (
+	// freezePoll is the time between two looks at a process that is to stop.
+	freezePoll = time.Millisecond
+	// freezePolls bounds the looks.
+	freezePolls = 2000
+)
+
 // Process is one running process of the program.
 type Process struct {
 	// Name is used for the log file.
@@ -70,9 +79,35 @@
 	<-p.done
 }
 
-// Freeze stops the process with SIGSTOP until Thaw.
+// Freeze stops the process with SIGSTOP until Thaw, and returns when every thread has stopped. The signal alone leaves a
+// busy process running for a moment, in which it may still serve what a test sends.
 func (p *Process) Freeze() {
 	p.signal(syscall.SIGSTOP)
+
+	for range freezePolls {
+		if p.stopped() {
+			return
+		}
+
+		time.Sleep(freezePoll)
+	}
+}
+
+// stopped reports whether every thread is in the stopped state.
+func (p *Process) stopped() bool {
+	paths, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "task", "*", "stat"))
+	if err != nil || len(paths) == 0 {
+		return false
+	}
+
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		if err == nil && !bytes.Contains(stat, []byte(") T ")) {
+			return false
+		}
+	}
+
+	return true
 }
 
 // Thaw continues a frozen process.
--- a/internal/trial/session/recorder.go
+++ b/internal/trial/session/recorder.go
@@ -15,6 +15,8 @@
 	timing = regexp.MustCompile(`"(remainingMs|unixMs|created)":("?)\d+"?`)
 	// age matches such fields that are absent when they are 0.
 	age = regexp.MustCompile(`,?"(configAgeMs|loadWaitMs|queueWaitMs)":"\d+"`)
+	// epoch matches residency epochs, which each process counts from a random number.
+	epoch = regexp.MustCompile(`"(residentEpoch|residentKnown)":"(\d+)"`)
 	// count matches the numbers of requests at an agent; requests that end and start at the same moment race for them.
 	count = regexp.MustCompile(`"(running|queued)":\d+,`)
 )
@@ -34,6 +36,7 @@
 	defer r.mu.Unlock()
 
 	text = randomID.ReplaceAllStringFunc(text, r.number)
+	text = epoch.ReplaceAllStringFunc(text, r.epoch)
 	text = count.ReplaceAllString(text, "")
 	text = age.ReplaceAllString(timing.ReplaceAllString(text, `"$1":${2}N$2`), "")
 
@@ -52,6 +55,13 @@
 	return strings.Join(r.lines, "")
 }
 
+func (r *Recorder) epoch(field string) string {
+	found := epoch.FindStringSubmatch(field)
+
+	return `"` + found[1] + `":"` + r.number("epoch-"+found[2]) + `"`
+}
+
+// number returns the short form of an identifier that starts with a prefix and a hyphen.
 func (r *Recorder) number(id string) string {
 	if known, ok := r.numbers[id]; ok {
 		return known
