--- a/internal/measure/policy/agent.go
+++ b/internal/measure/policy/agent.go
@@ -208,7 +208,7 @@
 
 	if slices.Contains(a.running, one) {
 		a.engine.stop(one.run)
-		a.vacate(one)
+		a.vacate(one, one.request.spending())
 		one.request.end(false)
 	}
 }
@@ -249,13 +249,14 @@
 func (a *agent) finish(one *job) {
 	a.rate.Observe(one.item.Cost, a.loop.now.Sub(one.started))
 	a.ramp.Complete(one.epoch)
-	a.vacate(one)
+	a.vacate(one, one.request.use())
 	one.request.done(a)
 }
 
-func (a *agent) vacate(one *job) {
+func (a *agent) vacate(one *job, used int64) {
 	a.running = slices.DeleteFunc(a.running, func(other *job) bool { return other == one })
 	a.cost -= one.item.Cost
+	a.queue.Settle(&one.item, used)
 	a.release(one)
 	a.dispatch()
 	a.load()
