--- a/internal/trial/soak/fleet.go
+++ b/internal/trial/soak/fleet.go
@@ -26,7 +26,7 @@
 	// reportLag is the age of load reports.
 	reportLag = 500 * time.Millisecond
 	// coldTime is the length of the cold start of each boot.
-	coldTime = 3 * time.Second
+	coldTime = 10 * time.Second
 	// listLag is the time until a change of the VM list is visible.
 	listLag       = 500 * time.Millisecond
 	operatorToken = "soak-operator-token"
