Refuse waiting requests ahead of their deadline

An agent refused a request that it had not started at the request's deadline on its own clock, which is later than the entry's by the transit. The entry had given up by then, and the caller was told that it was not known whether the request ran. Without it TestRefusedAheadOfDeadline fails: refused after 1s.

--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -238,3 +238,26 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// Guards against a refusal that leaves the agent at the deadline and so reaches the entry too late to be told as "not run".
+func TestRefusedAheadOfDeadline(t *testing.T) {
+	bubble(t, false, func(f *fixture) {
+		t := f.t
+
+		f.engine.set(func() { f.engine.pace = 2 * time.Second })
+
+		running := []<-chan result{f.begin(f.generate("r1", "x")), f.begin(f.generate("r2", "x"))}
+		time.Sleep(time.Second)
+
+		request := f.generate("q", "x")
+		request.RemainingMs = 1000
+		began := time.Now()
+
+		assert.Equal(t, f.run(request).kind(), "refused overloaded")
+		assert.Assert(t, time.Since(began) <= 950*time.Millisecond, "refused after %s", time.Since(began))
+
+		for _, r := range running {
+			assert.Equal(t, (<-r).kind(), "done")
+		}
+	})
+}
--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -405,9 +405,19 @@
 	return load
 }
 
+const (
+	// refuseLead is how long before its deadline a waiting request is refused. The entry's own deadline is earlier than the
+	// agent's by the transit of the request, so that a refusal at the deadline would come too late and the caller would be
+	// told that it is not known whether the request ran.
+	refuseLead = 100 * time.Millisecond
+	// refuseShare bounds refuseLead to this part of the time that is left.
+	refuseShare = 4
+)
+
 // await returns nil when the job may start, or why it is refused.
 func (j *job) await(ctx context.Context) error {
-	timer := time.NewTimer(time.Until(j.item.Deadline))
+	left := time.Until(j.item.Deadline)
+	timer := time.NewTimer(left - min(refuseLead, left/refuseShare))
 	defer timer.Stop()
 
 	select {
