--- a/internal/trial/session/recorder.go
+++ b/internal/trial/session/recorder.go
@@ -11,6 +11,8 @@
 var (
 	// randomID matches identifiers of package ident.
 	randomID = regexp.MustCompile(`\b([a-z]+)-[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
+	// epoch matches epochs of resident lists, which begin at a random number.
+	epoch = regexp.MustCompile(`"(residentEpoch|residentKnown)":"(\d+)"`)
 	// timing matches fields that depend on the moment at which a message is sent.
 	timing = regexp.MustCompile(`"(remainingMs|unixMs|created)":("?)\d+"?`)
 	// age matches such fields that are absent when they are 0.
@@ -34,6 +36,7 @@
 	defer r.mu.Unlock()
 
 	text = randomID.ReplaceAllStringFunc(text, r.number)
+	text = epoch.ReplaceAllStringFunc(text, r.epoch)
 	text = count.ReplaceAllString(text, "")
 	text = age.ReplaceAllString(timing.ReplaceAllString(text, `"$1":${2}N$2`), "")
 
@@ -52,6 +55,12 @@
 	return strings.Join(r.lines, "")
 }
 
+func (r *Recorder) epoch(field string) string {
+	parts := epoch.FindStringSubmatch(field)
+
+	return `"` + parts[1] + `":"` + r.number("epoch-"+parts[2]) + `"`
+}
+
 func (r *Recorder) number(id string) string {
 	if known, ok := r.numbers[id]; ok {
 		return known
