--- a/internal/trial/session/recorder.go
+++ b/internal/trial/session/recorder.go
@@ -11,12 +11,12 @@
 var (
 	// randomID matches identifiers of package ident.
 	randomID = regexp.MustCompile(`\b([a-z]+)-[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
+	// epoch matches epochs of resident lists, which begin at a random number.
+	epoch = regexp.MustCompile(`"(residentEpoch|residentKnown)":"(\d+)"`)
 	// timing matches fields that depend on the moment at which a message is sent.
 	timing = regexp.MustCompile(`"(remainingMs|unixMs|created)":("?)\d+"?`)
 	// age matches such fields that are absent when they are 0.
 	age = regexp.MustCompile(`,?"(configAgeMs|loadWaitMs|queueWaitMs)":"\d+"`)
-	// epoch matches residency epochs, which each process counts from a random number.
-	epoch = regexp.MustCompile(`"(residentEpoch|residentKnown)":"(\d+)"`)
 	// count matches the numbers of requests at an agent; requests that end and start at the same moment race for them.
 	count = regexp.MustCompile(`"(running|queued)":\d+,`)
 )
@@ -56,12 +56,11 @@
 }
 
 func (r *Recorder) epoch(field string) string {
-	found := epoch.FindStringSubmatch(field)
+	parts := epoch.FindStringSubmatch(field)
 
-	return `"` + found[1] + `":"` + r.number("epoch-"+found[2]) + `"`
+	return `"` + parts[1] + `":"` + r.number("epoch-"+parts[2]) + `"`
 }
 
-// number returns the short form of an identifier that starts with a prefix and a hyphen.
 func (r *Recorder) number(id string) string {
 	if known, ok := r.numbers[id]; ok {
 		return known
