Let agents get the configuration from entries

Cause: agents read the document from the table only. With the table down from just after a change, an agent that had not read the change refused every keyed request for the whole outage, and a new agent had no document at all.

Entries alone do not confirm the document to an agent; requests do, as before.

TestAgentLearnsFromEntries was seen failing without the question at start: the agent had no document after 5 s.

--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -81,6 +82,10 @@
 	Self Self
 	// Peers is nil in agents.
 	Peers Caller
+	// Ask calls entries for an agent when the table does not have what it needs; nil in entries.
+	Ask Caller
+	// Entries lists the entries that Ask may call; set with Ask.
+	Entries func(ctx context.Context) []vms.VM
 	// Period is the time between polls.
 	Period time.Duration
 
@@ -139,6 +144,12 @@
 
 func (f *Follower) refreshTable(ctx context.Context) {
 	err := f.pull(ctx)
+
+	// A new agent needs some document before it can serve; requests name the version that they need.
+	if err != nil && f.version() < 0 {
+		f.askEntries(ctx, 0)
+	}
+
 	f.publishFresh()
 
 	// Agents leave it to the few entries to commit, so that they do not race for the head.
@@ -173,15 +184,21 @@
 	return !f.fresh.silent && time.Since(f.fresh.table) < tableRecent
 }
 
-// CatchUp brings the document to at least the version, from the table and, in an entry, from peers.
+// CatchUp brings the document to at least the version, from the table or from entries.
 func (f *Follower) CatchUp(ctx context.Context, version int64) error {
 	f.init()
 
+	// While the table does not answer, waiting for it would use up the time of the request that needs the version.
+	if !f.TableAnswers() {
+		f.askEntries(ctx, version)
+	}
+
 	if f.version() >= version {
 		return nil
 	}
 
 	err := f.pullShared(ctx)
+	f.askEntries(ctx, version)
 
 	if f.version() < version && f.Peers != nil {
 		f.syncDomains(ctx)
--- a/internal/config/follow/follow_test.go
+++ b/internal/config/follow/follow_test.go
@@ -256,6 +256,30 @@
 	}
 }
 
+// Guards against an agent that has no configuration, or an old one, for as long as the table is down.
+func TestAgentLearnsFromEntries(t *testing.T) {
+	inWorld(t, []string{"a", "b"}, func(w *world) {
+		t := w.t
+
+		time.Sleep(3 * time.Second)
+		w.set(func() { w.down = true })
+
+		agent := &follow.Follower{
+			Board:   &board.Board{},
+			Store:   &store.Store{Table: view{w, "agent"}},
+			Ask:     link{w, "agent"},
+			Entries: func(context.Context) []vms.VM { return w.list.VMs },
+			Period:  follow.AgentPeriod,
+		}
+
+		go func() { _ = agent.Run(w.ctx) }()
+
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, agent.Board.Document.Value().Version, int64(2))
+		assert.Assert(t, !follow.IsFresh(agent.Board.Fresh.Value(), time.Now()), "entries alone confirm nothing to an agent")
+	})
+}
+
 // Guards against an agent that misses a version that a request names, and against one that takes an older
 // confirmation for a newer version.
 func TestAgent(t *testing.T) {
--- a/internal/program/compose/agent.go
+++ b/internal/program/compose/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	agent "github.com/chestnutbeam/chestnutbeam/internal/agent/server"
@@ -9,6 +10,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/store"
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/assign"
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/ledger"
+	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 )
@@ -23,7 +25,13 @@
 	shared := server.Board
 	pool := conn.New(dial)
 	records := &store.Store{Table: platform.Table, Objects: platform.Objects}
-	follower := &follow.Follower{Board: shared, Store: records, Period: follow.AgentPeriod}
+	follower := &follow.Follower{
+		Board:   shared,
+		Store:   records,
+		Ask:     follow.DRPC{Pool: pool},
+		Entries: func(ctx context.Context) []vms.VM { return entries(ctx, shared, platform.VMs) },
+		Period:  follow.AgentPeriod,
+	}
 	shares := &assign.Assign{Board: shared, Table: platform.Table, Accounts: []string{loadAccount}}
 	debits := &ledger.Ledger{Board: shared, Pool: pool, Stale: shares.Poke}
 
@@ -49,3 +57,25 @@
 		group.Wait()
 	}
 }
+
+// entries returns entries that an agent can ask: the holders of the load budget, which it knows without polling the VM
+// list, or the listed ones before it knows the holders.
+func entries(ctx context.Context, shared *board.Board, lister vms.Lister) []vms.VM {
+	holders := shared.Shares.Value()[loadAccount].Holders
+	found := make([]vms.VM, 0, len(holders))
+
+	for _, holder := range holders {
+		found = append(found, vms.VM{Name: holder.VM, Address: holder.Address, Domain: holder.Domain, Role: vms.RoleEntry})
+	}
+
+	if len(found) > 0 {
+		return found
+	}
+
+	list, err := lister.List(ctx)
+	if err != nil {
+		return nil
+	}
+
+	return slices.DeleteFunc(slices.Clone(list.VMs), func(vm vms.VM) bool { return vm.Role != vms.RoleEntry })
+}
