Assert limits, refusals, whole answers and absent keys in the program

Change: assertions that an agent never runs more than its limit, that no refusal follows a start, that a whole answer is of the adapter asked for and has every chunk, and that no call to a plain service carries the caller's key.

--- a/internal/agent/server/gate.go
+++ b/internal/agent/server/gate.go
@@ -148,6 +148,7 @@
 		delete(g.jobs, item)
 
 		g.running++
+		invariant.Check(g.running <= g.ramp.Limit(), "gate.limit", "%d requests run with a limit of %d", g.running, g.ramp.Limit())
 		g.cost += item.Cost
 		j.place = true
 		j.started = now
--- a/internal/agent/server/outlet.go
+++ b/internal/agent/server/outlet.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/engine"
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
@@ -19,6 +20,8 @@
 	request *rpc.RunRequest
 	// known is the residency epoch that the entry has.
 	known int64
+	// begun says that the entry was told that the backend server has the request; a refusal must not follow.
+	begun bool
 }
 
 // send adds load and ticket to a message and sends it.
@@ -39,6 +42,7 @@
 // refuse says that the request was not run and will not be run.
 func (o *outlet) refuse(err error) error {
 	problem := fault.Of(err)
+	invariant.Check(!o.begun, "refusal.ran", "request %s is refused after it was started", o.request.RequestId)
 
 	metrics.GetOrRegisterCounter("agent.refused."+string(problem.Kind), metrics.DefaultRegistry).Inc(1)
 
@@ -64,6 +68,7 @@
 
 // started says that the backend server has the request.
 func (o *outlet) started(j *job) error {
+	o.begun = true
 	started := &rpc.Started{}
 
 	if j != nil {
--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 	"github.com/chestnutbeam/chestnutbeam/internal/entry/relay"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -134,6 +135,8 @@
 		}
 	}
 
+	state.assertNoKey(sent)
+
 	planned := relay.Request{
 		ID:       state.id,
 		Account:  state.account,
@@ -152,6 +155,17 @@
 	return planned, nil
 }
 
+// assertNoKey checks that no part of a call holds the caller's key.
+func (c *call) assertNoKey(sent *rpc.Call) {
+	leaks := c.leaks(sent.Path, sent.Query, string(sent.Body))
+
+	for _, header := range sent.Headers {
+		leaks = leaks || c.leaks(header.Value)
+	}
+
+	invariant.Check(!leaks, "call.key", "request %s would carry the caller's key to a backend server", c.id)
+}
+
 // cleanQuery removes parameters that hold keys.
 func cleanQuery(state *call, raw string) (string, error) {
 	values, err := url.ParseQuery(raw)
--- a/internal/entry/relay/receive.go
+++ b/internal/entry/relay/receive.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
@@ -127,6 +128,8 @@
 		return nil, lost{fault.New(fault.Interrupted, "the answer has %d chunks and %d arrived", done.Chunks, s.next)}
 	}
 
+	s.assertWhole(done)
+
 	return done, nil
 }
 
@@ -142,6 +145,18 @@
 	return lost{fault.New(fault.BackendFailed, "the backend server answered with another adapter")}
 }
 
+// assertWhole checks what the caller is about to get as a whole answer, across resumed and repeated sendings.
+func (s *session) assertWhole(done *rpc.Done) {
+	work, ok := s.request.Work.(Generate)
+	if !ok {
+		return
+	}
+
+	right := done.Adapter == work.Adapter && done.Version == work.Version
+	invariant.Check(right, "answer.adapter", "%s@%s answers for %s", done.Adapter, done.Version, work.resident())
+	invariant.Check(done.Chunks == s.next, "answer.whole", "%d of %d chunks", s.next, done.Chunks)
+}
+
 // refuse ends the sending. A refusal after a start, or of a resume, does not say that the request was not run.
 func (s *session) refuse(down *rpc.RunDown, from *rpc.Refused) error {
 	failure := refusal(from)
