--- a/internal/entry/api/service.go
+++ b/internal/entry/api/service.go
@@ -156,14 +156,14 @@
 }
 
 // assertNoKey checks that no part of a call holds the caller's key.
-func (c *call) assertNoKey(sent *rpc.Call) {
-	leaks := c.leaks(sent.Path, sent.Query, string(sent.Body))
+func (s *call) assertNoKey(sent *rpc.Call) {
+	leaks := s.leaks(sent.Path, sent.Query, string(sent.Body))
 
 	for _, header := range sent.Headers {
-		leaks = leaks || c.leaks(header.Value)
+		leaks = leaks || s.leaks(header.Value)
 	}
 
-	invariant.Check(!leaks, "call.key", "request %s would carry the caller's key to a backend server", c.id)
+	invariant.Check(!leaks, "call.key", "request %s would carry the caller's key to a backend server", s.id)
 }
 
 // cleanQuery removes parameters that hold keys.
