--- a/internal/limit/ledger/ledger.go
+++ b/internal/limit/ledger/ledger.go
@@ -70,14 +70,14 @@
 }
 
 // Debit takes the amount of tokens from the account, or nothing and returns a fault of kind RateLimited with the time
-// to come back, TooLarge, or LimitUnavailable. It may wait up to refillWait for tokens that refill until then.
+// to come back, TooLarge, or LimitUnavailable. It may wait up to RefillWait for tokens that refill until then.
 func (l *Ledger) Debit(ctx context.Context, account string, amount int64) (*Charge, error) {
 	limits, err := l.check(account, amount)
 	if err != nil {
 		return nil, err
 	}
 
-	patience := refillWait
+	patience := RefillWait
 
 	for {
 		charge, err := l.attempt(ctx, account, amount, limits)
--- a/internal/measure/policy/policies.go
+++ b/internal/measure/policy/policies.go
@@ -23,6 +23,8 @@
 	Refund Refund
 	// Fixed asks holders in a fixed order, the local one first, instead of fullest first.
 	Fixed bool
+	// Hasty refuses at once what lacks tokens that refill soon.
+	Hasty bool
 	// Static divides limits equally between the entries and moves nothing.
 	Static bool
 	// Ageless counts all uses of an adapter alike, however long ago.
@@ -65,6 +67,7 @@
 		{Name: "plain-refund", Refund: RefundPlain},
 		{Name: "no-refund", Refund: RefundNone},
 		{Name: "no-fullest", Fixed: true},
+		{Name: "no-wait", Hasty: true},
 		{Name: "no-ageing", Ageless: true},
 		{Name: "no-gradual", Sudden: true},
 		{Name: "no-fair", Shared: true},
