--- a/internal/limit/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package limit contains the tests of its subpackages together: bucket, terms, holder, ledger and assign.
-package limit
--- /dev/null
+++ b/internal/limit/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration tests the limit packages together: bucket, terms, holder, ledger and assign.
+package integration
--- a/internal/limit/fleet_test.go
+++ b/internal/limit/integration/fleet_test.go
@@ -1,4 +1,4 @@
-package limit_test
+package integration_test
 
 import (
 	"context"
