Keep the freshness limit in one place

Cause: the 5 s after which a process refuses keyed work stood in the follower, the callers' API and the agent.

Change: board.MaxAge, next to the cell that it limits.

--- a/internal/agent/server/check.go
+++ b/internal/agent/server/check.go
@@ -5,12 +5,11 @@
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
 const (
-	// freshness is how long after its last confirmation a document may be used for keyed work.
-	freshness = 5 * time.Second
 	// renewal is by how much a confirmation must be newer to be passed on, so that not every request wakes the watchers.
 	renewal = 500 * time.Millisecond
 	// catchUpTimeout bounds the wait for a document version that an entry has and this process lacks.
@@ -128,7 +127,7 @@
 	return nil
 }
 
-// checkFresh requires a confirmation within the freshness: by this process itself, or by the entry, whose version this
+// checkFresh requires a confirmation within board.MaxAge: by this process itself, or by the entry, whose version this
 // process has reached.
 func (s *Server) checkFresh(now time.Time, a *arrival) error {
 	confirmed := s.Board.Fresh.Value().Confirmed
@@ -137,8 +136,8 @@
 		confirmed = a.confirmed
 	}
 
-	if confirmed.IsZero() || now.Sub(confirmed) > freshness {
-		return fault.New(fault.StaleConfig, "the configuration was not confirmed within %s", freshness)
+	if confirmed.IsZero() || now.Sub(confirmed) > board.MaxAge {
+		return fault.New(fault.StaleConfig, "the configuration was not confirmed within %s", board.MaxAge)
 	}
 
 	return nil
@@ -148,8 +147,8 @@
 func (s *Server) catchUp(ctx context.Context, a *arrival) error {
 	age := time.Duration(a.request.ConfigAgeMs) * time.Millisecond
 
-	if a.request.Key != "" && (age < 0 || age > freshness) {
-		return fault.New(fault.StaleConfig, "the entry's configuration was not confirmed within %s", freshness)
+	if a.request.Key != "" && (age < 0 || age > board.MaxAge) {
+		return fault.New(fault.StaleConfig, "the entry's configuration was not confirmed within %s", board.MaxAge)
 	}
 
 	if s.version() < a.request.ConfigVersion {
--- a/internal/config/follow/follow.go
+++ b/internal/config/follow/follow.go
@@ -25,7 +25,7 @@
 	// AgentPeriod is the time between polls of an agent; agents are confirmed by requests as well.
 	AgentPeriod = 2 * time.Second
 	// MaxAge is the age of the last confirmation beyond which a process refuses keyed work.
-	MaxAge = 5 * time.Second
+	MaxAge = board.MaxAge
 	// tableRecent is the age of the table's last confirmation from which on peers of all failure domains are called. It is
 	// above the longest time between two polls of an entry, and leaves time for a round of calls before MaxAge.
 	tableRecent = 2 * time.Second
--- a/internal/entry/api/admit.go
+++ b/internal/entry/api/admit.go
@@ -9,11 +9,10 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/entry/relay"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 )
 
 const (
-	// freshTime is the age of the last confirmation up to which keyed work is served.
-	freshTime = 5 * time.Second
 	// mostHeaders bounds the number of header fields of a request.
 	mostHeaders = 64
 	bearer      = "Bearer "
@@ -102,8 +101,8 @@
 	doc, fresh := a.Board.Document.Value(), a.Board.Fresh.Value()
 
 	age := time.Since(fresh.Confirmed)
-	if doc == nil || fresh.Confirmed.IsZero() || age > freshTime || fresh.Version > doc.Version {
-		return relay.Config{}, fault.New(fault.StaleConfig, "the configuration could not be confirmed within %s", freshTime)
+	if doc == nil || fresh.Confirmed.IsZero() || age > board.MaxAge || fresh.Version > doc.Version {
+		return relay.Config{}, fault.New(fault.StaleConfig, "the configuration could not be confirmed within %s", board.MaxAge)
 	}
 
 	return relay.Config{Version: doc.Version, Age: max(age, 0)}, nil
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -25,6 +25,9 @@
 	Draining Cell[bool]
 }
 
+// MaxAge is the age of the last confirmation beyond which a process refuses keyed work.
+const MaxAge = 5 * time.Second
+
 // Fresh says when the document was last confirmed to be current, on this process's clock.
 type Fresh struct {
 	// Version is the version that was confirmed.
