Make entries ready only when they know the token shares

Cause: an entry looked ready a moment before it had read who holds the token shares, and during a table outage for as long as that lasted. It refused every charged request meanwhile, and the load balancer sent it traffic.

Change: the assignments are published after the first read even if there are none, and an entry waits for them before it is ready.

Result: TestReadyNeedsShares was seen failing without the wait (200 instead of 503); entry, limit, command, session and soak tests pass.

--- a/internal/entry/server/entry_test.go
+++ b/internal/entry/server/entry_test.go
@@ -40,6 +40,7 @@
 	debited int64
 	// limited refuses debits; broken panics at them.
 	limited, broken bool
+	needsShares     bool
 	unused          []int64
 }
 
@@ -160,7 +161,7 @@
 	ctx, stop := context.WithCancel(f.ctx)
 	s := &server.Server{
 		Board: shared, Lister: f, Table: f.table, Keys: f, Limits: f, Resolver: f,
-		HTTP: listener, Peer: newPipeListener(), Dial: f.network.dial,
+		HTTP: listener, Peer: newPipeListener(), Dial: f.network.dial, NeedsShares: f.needsShares,
 		Controllers: []server.Controller{&confirmer{fleet: f, board: shared}},
 	}
 	s.Settings.Place.VM = "entry-1"
--- a/internal/entry/server/ready.go
+++ b/internal/entry/server/ready.go
@@ -14,6 +14,7 @@
 
 	waitDocument = "configuration"
 	waitMembers  = "VM list"
+	waitShares   = "token shares"
 )
 
 // awaitReady marks what the process waits for as present, and logs it until everything is.
@@ -25,7 +26,7 @@
 	last := ""
 
 	for {
-		documents, listed := s.Board.Document.Changed(), s.members.View.Changed()
+		documents, listed, shares := s.Board.Document.Changed(), s.members.View.Changed(), s.Board.Shares.Changed()
 
 		waiting := s.see()
 		if len(waiting) == 0 {
@@ -43,6 +44,7 @@
 			return
 		case <-documents:
 		case <-listed:
+		case <-shares:
 		case <-ticker.C:
 			last = ""
 		}
@@ -58,5 +60,9 @@
 		s.readiness.Done(waitMembers)
 	}
 
+	if _, version := s.Board.Shares.Get(); version > 0 {
+		s.readiness.Done(waitShares)
+	}
+
 	return s.readiness.Waiting()
 }
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -62,6 +62,9 @@
 	Keys     api.Keys
 	Limits   api.Limits
 	Resolver api.Resolver
+	// NeedsShares says that the process is not ready before it has read the assignments of token shares; without them it
+	// refuses every charged request.
+	NeedsShares bool
 	// Routes add further HTTP routes, such as those for operators.
 	Routes []func(server *echo.Echo)
 	// Services register the drpc services of the process.
@@ -99,6 +102,10 @@
 	s.readiness.Wait(waitDocument)
 	s.readiness.Wait(waitMembers)
 
+	if s.NeedsShares {
+		s.readiness.Wait(waitShares)
+	}
+
 	s.members = &member.Controller{Lister: s.Lister, Board: s.Board}
 	pool := conn.New(s.Dial)
 
--- a/internal/entry/server/session_test.go
+++ b/internal/entry/server/session_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
 
@@ -261,6 +262,20 @@
 	})
 }
 
+// Guards against an entry that looks ready before it knows who holds token shares, and refuses every charged request.
+func TestReadyNeedsShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "s1")
+		f.needsShares = true
+		e := f.start()
+		assert.Equal(t, e.do(t, "GET", "/readyz", "").status, 503)
+
+		e.board.Shares.Set(map[string]board.Assignment{})
+		synctest.Wait()
+		assert.Equal(t, e.do(t, "GET", "/readyz", "").status, 200)
+	})
+}
+
 // Guards against a shutdown that cuts off a stream, takes new work or looks ready.
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/limit/assign/rows.go
+++ b/internal/limit/assign/rows.go
@@ -151,17 +151,18 @@
 	rows[account] = parsed
 }
 
-// publish sets board.Shares. The epoch of an account never decreases there, because a reply of the table may be older
-// than one that was published before.
+// publish sets board.Shares, the first time also when there are no rows, because readiness depends on their being known.
+// The epoch of an account never decreases there, because a reply of the table may be older than one that was published
+// before.
 func (a *Assign) publish(rows map[string]row) {
-	known := a.Board.Shares.Value()
+	known, version := a.Board.Shares.Get()
 	next := maps.Clone(known)
 
 	if next == nil {
 		next = map[string]board.Assignment{}
 	}
 
-	changed := false
+	changed := version == 0
 
 	for account, read := range rows {
 		if read.assignment.Epoch > next[account].Epoch {
--- a/internal/program/compose/entry.go
+++ b/internal/program/compose/entry.go
@@ -56,6 +56,7 @@
 	server.Table = platform.Table
 	server.Keys = keyLookup{&keys.Lookup{Board: shared}}
 	server.Limits = limits{debits}
+	server.NeedsShares = true
 	server.Resolver = resolver{}
 	server.Services = append(server.Services, peerService(follower), limitService(local))
 	server.Controllers = append(server.Controllers, follower, local, assignment{shares})
