Share the in-memory listener between tests

Cause: the same in-memory listener stood in three test set-ups.

Change: internal/trial/pipe, used by the agent's tests, the limit tests and the recorded sessions. The entry's tests and the soak runs keep their own, which also cut and delay connections.

Result: the tests of the three packages pass.

--- a/internal/agent/server/fake_test.go
+++ b/internal/agent/server/fake_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -338,43 +337,3 @@
 type fakeBudget struct{}
 
 func (fakeBudget) Take(context.Context) error { return nil }
-
-// pipeListener accepts in-memory connections.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) dial(ctx context.Context, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-
-	select {
-	case l.conns <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/agent/server/fixture_test.go
+++ b/internal/agent/server/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/trial/pipe"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -28,7 +29,7 @@
 	board    *board.Board
 	source   *fakeSource
 	table    *fakeTable
-	listener *pipeListener
+	listener *pipe.Listener
 	stop     context.CancelFunc
 	ended    chan error
 	hello    *rpc.HelloReply
@@ -60,7 +61,7 @@
 	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{t: t, board: &board.Board{}, listener: newListener(), ended: make(chan error, 1), table: &fakeTable{}}
+		f := &fixture{t: t, board: &board.Board{}, listener: pipe.New(), ended: make(chan error, 1), table: &fakeTable{}}
 		f.source = &fakeSource{board: f.board}
 		f.board.Document.Set(fleet())
 
@@ -106,7 +107,7 @@
 
 // dial opens a connection of its own, so that a test can cut it.
 func (f *fixture) dial() drpc.Conn {
-	raw, err := f.listener.dial(f.t.Context(), "")
+	raw, err := f.listener.Dial(f.t.Context())
 	assert.NilError(f.t, err)
 
 	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: conn.ManagerOptions()})
--- a/internal/limit/integration/fleet_test.go
+++ b/internal/limit/integration/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/vms"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
+	"github.com/chestnutbeam/chestnutbeam/internal/trial/pipe"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/rpc"
 )
@@ -56,7 +57,7 @@
 	ledger *ledger.Ledger
 	assign *assign.Assign
 	pool   *conn.Pool
-	listen *listener
+	listen *pipe.Listener
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
@@ -91,7 +92,7 @@
 	f.mu.Unlock()
 
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &entry{self: self, board: &board.Board{}, pool: conn.New(f.dial), listen: newListener(), cancel: cancel}
+	e := &entry{self: self, board: &board.Board{}, pool: conn.New(f.dial), listen: pipe.New(), cancel: cancel}
 	e.thawed = make(chan struct{})
 	close(e.thawed)
 	e.random = rand.New(rand.NewPCG(uint64(f.boots), 3))
@@ -240,7 +241,7 @@
 		return nil, errors.New("connection refused")
 	}
 
-	return e.listen.dial(ctx)
+	return e.listen.Dial(ctx)
 }
 
 func (e *entry) freeze() {
@@ -319,46 +320,6 @@
 	return reply, err
 }
 
-// listener accepts in-memory connections.
-type listener struct {
-	queue  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newListener() *listener {
-	return &listener{queue: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *listener) dial(ctx context.Context) (net.Conn, error) {
-	near, far := net.Pipe()
-
-	select {
-	case l.queue <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.queue:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // faultyTable is a table with outages and lost replies.
 type faultyTable struct {
 	table.Memory
--- a/internal/trial/session/network.go
+++ b/internal/trial/session/network.go
@@ -6,30 +6,25 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/trial/pipe"
 )
 
 // network connects listeners and dialers in memory, by address.
 type network struct {
 	mu        sync.Mutex
-	listeners map[string]*listener
-}
-
-// listener accepts in-memory connections.
-type listener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
+	listeners map[string]*pipe.Listener
 }
 
-func (n *network) listen(address string) *listener {
+func (n *network) listen(address string) *pipe.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
 	if n.listeners == nil {
-		n.listeners = map[string]*listener{}
+		n.listeners = map[string]*pipe.Listener{}
 	}
 
-	n.listeners[address] = &listener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = pipe.New()
 
 	return n.listeners[address]
 }
@@ -43,34 +38,5 @@
 		return nil, errors.Newf("nothing listens at %s", address)
 	}
 
-	near, far := net.Pipe()
-
-	select {
-	case found.accepted <- far:
-		return near, nil
-	case <-found.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case accepted := <-l.accepted:
-		return accepted, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-
-	return nil
+	return found.Dial(ctx)
 }
-
-// Addr implements net.Listener.
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
