--- a/internal/config/document/document_test.go
+++ b/internal/config/document/document_test.go
@@ -61,7 +61,7 @@
 
 	for _, edits := range []string{
 		`[]`,
-		`[{"section":"tenant","name":"x","value":{}}]`,
+		`[{"section":"group","name":"x","value":{}}]`,
 		`[{"section":"model","name":"m","value":{"context":1}},{"section":"model","name":"m"}]`,
 		`[{"section":"default","name":"other","value":{}}]`,
 		`[{"section":"default","name":"fleet"}]`,
@@ -110,7 +110,7 @@
 	for _, file := range []string{
 		"model:\n  base: {context: 1}\n  base: {context: 2}\n",
 		"model:\n  base:\n    ctx: 1\n",
-		"tenants: {}\n",
+		"groups: {}\n",
 		"default:\n  timeout: 30\n",
 		"default:\n  timeout: half an hour\n",
 		"default:\n  limit: many\n",
