--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -64,7 +64,10 @@
 	// instance is the id under which the model server is listed, as the entries say.
 	instance string
 	version  int64
-	accounts quota.Holder
+	// confirmed is when the store last confirmed that version to an entry, on freshness.Clock, and known that it did.
+	confirmed time.Duration
+	known     bool
+	accounts  quota.Holder
 	// watchers are woken when the state changes.
 	watchers map[chan struct{}]bool
 	// wake ends the pause of the control loop.
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
@@ -31,11 +33,12 @@
 	}()
 
 	failed := make(chan error, 1)
+	peer := &freshness.Peer{}
 
-	go func() { failed <- a.receive(stream) }()
+	go func() { failed <- a.receive(stream, peer) }()
 
 	for {
-		if err := stream.Send(a.state()); err != nil {
+		if err := stream.Send(a.state(peer)); err != nil {
 			return errors.Wrap(err, "send state")
 		}
 
@@ -52,13 +55,14 @@
 	}
 }
 
-func (a *Agent) receive(stream relay.DRPCRelay_WatchStream) error {
+func (a *Agent) receive(stream relay.DRPCRelay_WatchStream, peer *freshness.Peer) error {
 	for {
 		settings, err := stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive settings")
 		}
 
+		peer.Hear(time.Duration(settings.GetClockMs())*time.Millisecond, freshness.Clock())
 		a.configure(settings)
 	}
 }
@@ -72,6 +76,7 @@
 		return
 	}
 
+	a.confirm(settings)
 	a.version = settings.GetConfigVersion()
 	a.instance = settings.GetInstance()
 
@@ -96,7 +101,21 @@
 	a.poke()
 }
 
-func (a *Agent) state() *relay.State {
+// confirm takes when the store confirmed the configuration of the settings to the entry. The lock must be held.
+func (a *Agent) confirm(settings *relay.Settings) {
+	if settings.GetConfigVersion() > a.version {
+		a.known = false
+	}
+
+	at, ok := convert.FromMoment(settings.GetConfirmed())
+	if !ok || a.known && at <= a.confirmed {
+		return
+	}
+
+	a.confirmed, a.known = at, true
+}
+
+func (a *Agent) state(peer *freshness.Peer) *relay.State {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
@@ -110,6 +129,13 @@
 		Idle:     int32(state.Idle),
 		Fetching: int32(state.Fetches),
 		Entries:  int32(len(a.watchers)),
+
+		ClockMs:       freshness.Clock().Milliseconds(),
+		ConfigVersion: a.version,
+	}
+
+	if echo, ok := peer.Echo(a.confirmed); ok && a.known {
+		wire.Confirmed = convert.ToMoment(echo)
 	}
 
 	for _, held := range state.Adapters {
--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
@@ -114,6 +115,20 @@
 	}
 }
 
+// ToMoment names a moment for the wire, rounded to an earlier one.
+func ToMoment(echo freshness.Echo) *relay.Moment {
+	return &relay.Moment{ClockMs: echo.Stamp.Milliseconds(), AfterMs: echo.After.Milliseconds() - 1}
+}
+
+// FromMoment returns a moment on the clock of this process; false if none is named.
+func FromMoment(moment *relay.Moment) (time.Duration, bool) {
+	if moment == nil {
+		return 0, false
+	}
+
+	return freshness.Echo{Stamp: milliseconds(moment.GetClockMs()), After: milliseconds(moment.GetAfterMs())}.Moment(), true
+}
+
 func toHeaders(headers []message.Header) []*relay.Header {
 	list := make([]*relay.Header, len(headers))
 	for i, header := range headers {
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -110,7 +110,16 @@
 	return e.draining.Load()
 }
 
-// Ready reports whether clients should come to this entry, and the reason if not.
+// Relayed takes the newest version of the configuration that an agent knows, and when the store confirmed it to another
+// entry. An entry with an older version learns nothing from it.
+func (e *Entry) Relayed(version int64, at time.Duration) {
+	if config := e.config.Load(); config != nil && config.Version >= version {
+		e.Fresh.Relay(at)
+	}
+}
+
+// Ready reports whether clients should come to this entry, and the reason if not. An entry that the store does not answer
+// sends clients elsewhere early, even while it still serves those who stay.
 func (e *Entry) Ready() (bool, string) {
 	age, known := e.Fresh.Age()
 
@@ -170,7 +179,7 @@
 }
 
 func (e *Entry) authorize(ctx context.Context, j *job, config *catalog.Catalog) *fault.Error {
-	age, known := e.Fresh.Age()
+	age, known := e.Fresh.SharedAge()
 	if !known || age > e.Bounds.Revoke-staleMargin {
 		return fault.New(fault.StaleConfig, "the configuration was last confirmed %d ms ago", age.Milliseconds())
 	}
--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -60,6 +60,124 @@
 	}
 }
 
+// Guards against a refusal of a request that an agent had received when its connection ended: it may run there.
+func TestAgentThatEndsWithoutAWordMayHaveRunTheRequest(t *testing.T) {
+	dial := func(context.Context, string) (net.Conn, error) {
+		own, other := net.Pipe()
+
+		go func() {
+			_, _ = io.CopyN(io.Discard, other, 64)
+			_ = other.Close()
+		}()
+
+		return own, nil
+	}
+
+	outcome := testEntry(dial).relay(t.Context(), testJob(catalog.Once), fleet.Server{ID: "a", Address: "h:1"}, func(message.Event) error { return nil })
+
+	failed, ok := outcome.(message.Failed)
+	assert.Assert(t, ok, "%#v", outcome)
+	assert.Equal(t, failed.Err.Kind, fault.OutcomeUnknown)
+}
+
+// Guards against more runs than the route allows, and against a second run where none is allowed.
+func TestRunsOfOneRequestAreBounded(t *testing.T) {
+	cases := map[string]struct {
+		repeat catalog.Repeat
+		begun  bool
+		ran    int
+		want   bool
+	}{
+		"once":                       {repeat: catalog.Once, ran: 1},
+		"idempotent":                 {repeat: catalog.Any, ran: 1, want: true},
+		"idempotent, twice":          {repeat: catalog.Any, ran: 2},
+		"idempotent, answer begun":   {repeat: catalog.Any, ran: 1, begun: true},
+		"resumable":                  {repeat: catalog.Resume, ran: 1, want: true},
+		"resumable, answer begun":    {repeat: catalog.Resume, ran: 1, begun: true, want: true},
+		"resumable, begun and twice": {repeat: catalog.Resume, ran: 2, begun: true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			j := testJob(c.repeat)
+			j.ran, j.begun = c.ran, c.begun
+			assert.Equal(t, j.repeatable(), c.want)
+		})
+	}
+}
+
+// Guards against requests that wander through the fleet, and against rejections by servers that use up more of the common
+// retry budget than this entry's share.
+func TestRefusedTriesAreBounded(t *testing.T) {
+	cases := map[string]struct {
+		arrived bool
+		extra   float64
+		want    int
+	}{
+		"refused by agents":                      {want: refusalLimit - 1},
+		"rejected by servers":                    {arrived: true, extra: 100, want: refusalLimit - 1},
+		"rejected by servers, no budget is left": {arrived: true, want: 0},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := testEntry(nil)
+			e.Bounds.RetryRatio, e.Bounds.RetryExtra = 0, c.extra
+			j := testJob(catalog.Once)
+			j.sink = &failedSink{}
+			again := 0
+
+			for _, id := range []string{"a", "b", "c", "d", "e"} {
+				refused := message.Refused{Err: fault.New(fault.NoServer, "not here"), Arrived: c.arrived}
+				if !e.afterRefusal(t.Context(), j, fleet.Server{ID: id}, refused) {
+					break
+				}
+
+				again++
+			}
+
+			assert.Equal(t, again, c.want)
+		})
+	}
+}
+
+type failedSink struct {
+	brokenSink
+	err *fault.Error
+}
+
+func (f *failedSink) Fail(err *fault.Error) { f.err = err }
+
+// Guards against a refusal that says "not run" after the request may have run at an earlier server.
+func TestRefusalAfterARunIsNotNotRun(t *testing.T) {
+	e := testEntry(nil)
+	j := testJob(catalog.Any)
+	sink := &failedSink{}
+	j.sink, j.ran = sink, 1
+
+	e.fail(t.Context(), j, fault.New(fault.NoServer, "no server left"))
+	assert.Equal(t, sink.err.Kind, fault.OutcomeUnknown)
+}
+
+// Guards against an answer that says that a route or key does not exist before the first configuration is known.
+func TestNoVerdictWithoutAConfiguration(t *testing.T) {
+	e := testEntry(nil)
+	sink := &failedSink{}
+	e.Serve(t.Context(), &message.Request{ID: "r", Path: "/a/", Arrived: time.Now()}, sink)
+	assert.Equal(t, sink.err.Kind, fault.NotReady)
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestOlderConfigurationStaysOutOfForce(t *testing.T) {
+	e := testEntry(nil)
+	e.Changed = make(chan struct{}, 1)
+
+	for _, version := range []int64{7, 5, 7} {
+		e.Apply(catalog.New(version, nil, nil, nil, catalog.Limits{}))
+		assert.Equal(t, e.Config().Version, int64(7))
+	}
+}
+
 type brokenSink struct{ aborted bool }
 
 func (b *brokenSink) Begin(message.Head) error { return nil }
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -12,7 +12,7 @@
 
 // reportRefusal logs and counts the outcome of a request that was refused before it was sent anywhere.
 func (e *Entry) reportRefusal(request *message.Request, err *fault.Error) {
-	age, _ := e.Fresh.Age()
+	age, _ := e.Fresh.SharedAge()
 	version := int64(-1)
 	account := ""
 
@@ -32,7 +32,7 @@
 // reportEnd logs and counts the outcome of a request that was sent, or for which no server was found; a nil error says that
 // the answer is whole.
 func (e *Entry) reportEnd(j *job, err *fault.Error) {
-	age, _ := e.Fresh.Age()
+	age, _ := e.Fresh.SharedAge()
 	took := time.Since(j.request.Arrived)
 
 	entry := e.Log.WithFields(logrus.Fields{
@@ -67,6 +67,10 @@
 		return -1
 	})
 	gauge("config.age", func() int64 {
+		age, _ := e.Fresh.SharedAge()
+		return age.Milliseconds()
+	})
+	gauge("store.age", func() int64 {
 		age, _ := e.Fresh.Age()
 		return age.Milliseconds()
 	})
--- a/internal/forward/freshness/freshness.go
+++ b/internal/forward/freshness/freshness.go
@@ -32,6 +32,9 @@
 	// confirmed is the local time of the newest confirmation.
 	confirmed time.Duration
 	known     bool
+	// relayed is the local time of the newest confirmation that others have got.
+	relayed time.Duration
+	heard   bool
 }
 
 // Confirm takes the store's clock from an answer that holds the newest configuration, and the local time at which it was
@@ -64,14 +67,53 @@
 	t.synced = false
 }
 
-// Age returns the time since the newest confirmation; false says that there was none.
+// Relay takes the local time at which the store confirmed the configuration in force to another process.
+func (t *Tracker) Relay(at time.Duration) {
+	at = min(at, t.now())
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if !t.heard || at > t.relayed {
+		t.relayed = at
+		t.heard = true
+	}
+}
+
+// Confirmed returns the local time of the newest confirmation that the process has got itself; false says that there was
+// none.
+func (t *Tracker) Confirmed() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.confirmed, t.known
+}
+
+// Age returns the time since the newest confirmation that the process has got itself; false says that there was none.
 func (t *Tracker) Age() (time.Duration, bool) {
-	now := t.now()
+	at, known := t.Confirmed()
+
+	return t.now() - at, known
+}
+
+// SharedAge returns the time since the newest confirmation that this process or another has got; false says that there was
+// none.
+func (t *Tracker) SharedAge() (time.Duration, bool) {
+	age, known := t.Age()
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return now - t.confirmed, t.known
+	if !t.heard {
+		return age, known
+	}
+
+	relayed := t.now() - t.relayed
+	if known {
+		relayed = min(relayed, age)
+	}
+
+	return relayed, true
 }
 
 func (t *Tracker) now() time.Duration {
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -12,7 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
@@ -35,7 +37,11 @@
 	Port int
 	// Settings returns what the agent of a server needs to know; false if it is not known yet.
 	Settings func(server fleet.Server) (*relay.Settings, bool)
-	Log      logrus.FieldLogger
+	// Confirmed returns when the store last confirmed the configuration to this entry, on freshness.Clock; false if it has not.
+	Confirmed func() (time.Duration, bool)
+	// Relayed takes the newest version of the configuration that an agent knows and when the store confirmed it to an entry.
+	Relayed func(version int64, at time.Duration)
+	Log     logrus.FieldLogger
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -195,7 +201,9 @@
 
 	defer func() { _ = stream.Close() }()
 
-	go l.speak(ctx, opened, stream)
+	peer := &freshness.Peer{}
+
+	go l.speak(ctx, opened, peer, stream)
 
 	for {
 		state, err := stream.Recv()
@@ -204,12 +212,17 @@
 		}
 
 		timer.Reset(silence)
+		peer.Hear(time.Duration(state.GetClockMs())*time.Millisecond, freshness.Clock())
 		l.take(opened, state)
+
+		if at, ok := convert.FromMoment(state.GetConfirmed()); ok {
+			l.Relayed(state.GetConfigVersion(), at)
+		}
 	}
 }
 
 // speak tells the agent the settings, at first and after each change.
-func (l *Links) speak(ctx context.Context, opened *link, stream relay.DRPCRelay_WatchClient) {
+func (l *Links) speak(ctx context.Context, opened *link, peer *freshness.Peer, stream relay.DRPCRelay_WatchClient) {
 	var (
 		told int64 = -1
 		at   time.Time
@@ -220,7 +233,13 @@
 		server := opened.server
 		l.mu.Unlock()
 
+		// The confirmation is read before the version: a newer version is also the newest at an earlier moment.
+		confirmed := l.confirmed(peer)
+
 		if settings, ok := l.Settings(server); ok && (settings.GetConfigVersion() != told || time.Since(at) > settingsPeriod) {
+			settings.ClockMs = freshness.Clock().Milliseconds()
+			settings.Confirmed = confirmed
+
 			if err := stream.Send(settings); err != nil {
 				return
 			}
@@ -235,3 +254,18 @@
 		}
 	}
 }
+
+// confirmed names the newest confirmation of this entry on the clock of the agent; nil if there is none.
+func (l *Links) confirmed(peer *freshness.Peer) *relay.Moment {
+	at, ok := l.Confirmed()
+	if !ok {
+		return nil
+	}
+
+	echo, ok := peer.Echo(at)
+	if !ok {
+		return nil
+	}
+
+	return convert.ToMoment(echo)
+}
--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -138,7 +138,19 @@
 
 		time.Sleep(1500 * time.Millisecond)
 
+		// Without the holder an entry has half of its equal share for a second.
+		const reserve = rate / 5 / 2
+
 		held.away = true
+		spent := 0
+
+		for now := time.Now(); time.Since(now) == 0 && spender.Spend(t.Context(), "acme", rate, burst, 10) == nil; {
+			spent += 10
+		}
+
+		// The last request waited for a part of its tokens.
+		assert.Assert(t, spent <= reserve+10, "%d tokens", spent)
+
 		err := spender.Spend(t.Context(), "acme", rate, burst, 400)
 		assert.Assert(t, err != nil)
 		assert.Equal(t, err.Kind, fault.RateLimited)
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -114,6 +114,69 @@
 	assert.Assert(t, !ok, "one place is in use and the other in transit")
 }
 
+// Guards against a crash of the server by more adapters or weights than it holds, and against an unload of what is in use.
+func TestLoadsStayWithinPlacesAndCapacity(t *testing.T) {
+	cases := map[string]struct {
+		places   int
+		capacity float64
+		// held are at the server, of which used ones run requests, and pending are in transit.
+		held, used, pending []string
+		want                schedule.OrderKind
+		none                bool
+	}{
+		"a place is free":          {places: 2, capacity: 1000, held: []string{"a1"}, want: schedule.Load},
+		"no place, one not in use": {places: 2, capacity: 1000, held: []string{"a1", "a2"}, used: []string{"a1"}, want: schedule.Unload},
+		"no place, all in use":     {places: 2, capacity: 1000, held: []string{"a1", "a2"}, used: []string{"a1", "a2"}, none: true},
+		"the last place is taken by one in transit": {
+			places: 2, capacity: 1000, held: []string{"a1"}, used: []string{"a1"}, pending: []string{"a2"}, none: true,
+		},
+		"no capacity, one not in use": {places: 9, capacity: 925, held: []string{"a1", "a2"}, want: schedule.Unload},
+		"no capacity, in transit":     {places: 9, capacity: 925, held: []string{"a1"}, used: []string{"a1"}, pending: []string{"a2"}, none: true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := ready(resident("new", 1))
+			limits := limits()
+			limits.Places, limits.Capacity = c.places, c.capacity
+			s.Configure(limits)
+
+			// An adapter that was in use lately is at hand, so that its load waits for no other one.
+			earlier := ticket("new", start)
+			s.Add(earlier)
+			s.Next(start)
+			s.Remove(earlier)
+
+			report := holding(3)
+			for _, name := range c.held {
+				report.Models[0].Adapters = append(report.Models[0].Adapters, resident(name, 1))
+			}
+
+			for _, name := range c.pending {
+				report.Pending = append(report.Pending, resident(name, 1))
+			}
+
+			s.Observe(start, report)
+
+			for _, name := range c.used {
+				running := ticket(name, start)
+				s.Add(running)
+				assert.Equal(t, len(started(s.Next(start))), 1)
+				s.Begun(running)
+			}
+
+			s.Add(ticket("new", start))
+
+			order, ok := s.Order(start)
+			assert.Equal(t, ok, !c.none, "%+v", order)
+
+			if ok {
+				assert.Equal(t, order.Kind, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a crash of the server by a load whose order was carried out late: an order without an answer is not
 // believed, and the next one expects the count of the report.
 func TestOrderWithoutAnswerIsAskedAgainWithTheReportedCount(t *testing.T) {
@@ -290,6 +353,23 @@
 	assert.Assert(t, first[0] == punctual)
 }
 
+// Guards against a fetch for a late request before that for one that can still be on time.
+func TestFetchesForLateRequestsGoBehind(t *testing.T) {
+	s := ready()
+
+	late := ticket("a1", start)
+	late.Due = start.Add(10 * time.Millisecond)
+	punctual := ticket("a2", start.Add(500*time.Millisecond))
+	punctual.Due = start.Add(time.Second)
+
+	s.Add(late)
+	s.Add(punctual)
+
+	order, ok := s.Order(start.Add(500 * time.Millisecond))
+	assert.Assert(t, ok)
+	assert.Equal(t, order.Adapter, punctual.Adapter)
+}
+
 // Guards against fetches that slow each other down until every request waits too long for its adapter: a server fetches
 // one adapter at a time, and loads those that it has at hand meanwhile.
 func TestOneFetchAtATime(t *testing.T) {
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -63,12 +63,15 @@
 	whole := true
 
 	for ctx.Err() == nil {
+		asked := freshness.Clock()
 		batch, err := w.call(ctx, whole)
 
 		switch {
 		case err == nil:
 			w.succeed()
 			w.apply(batch, whole)
+			w.confirm(asked, batch)
+
 			whole = false
 
 			w.sleep(ctx, w.pause(batch))
@@ -87,7 +90,6 @@
 		w.Called()
 	}
 
-	asked := freshness.Clock()
 	wait := w.wait()
 
 	timeout := wait + callTimeout
@@ -109,13 +111,16 @@
 		batch, err = w.Source.Changes(bounded, w.Topic, w.version, wait)
 	}
 
-	if err == nil && w.Fresh != nil {
-		defer w.Fresh.Confirm(asked, batch.Clock)
-	}
-
 	return batch, err
 }
 
+// confirm says that the configuration in force was the newest when the store answered the call.
+func (w *Watcher) confirm(asked time.Duration, batch Batch) {
+	if w.Fresh != nil {
+		w.Fresh.Confirm(asked, batch.Clock)
+	}
+}
+
 // wait returns how long the store may hold the call. A store that did not answer is asked for an answer at once, so that
 // its return is noticed soon.
 func (w *Watcher) wait() time.Duration {
--- a/internal/forward/watch/watch_test.go
+++ b/internal/forward/watch/watch_test.go
@@ -28,6 +28,8 @@
 	forgot  bool
 	reads   int
 	calls   int
+	// answered counts the calls for changes that had an answer.
+	answered int
 }
 
 func (s *source) Read(ctx context.Context, _ watch.Topic) (watch.Batch, error) {
@@ -52,6 +54,8 @@
 		}
 
 		if batch, done, err := s.look(after, waited >= wait); done {
+			s.set(func(s *source) { s.answered++ })
+
 			return batch, err
 		}
 
@@ -186,19 +190,24 @@
 
 // Guards against an entry that serves no keyed request for seconds after the store is back.
 func TestConfigurationIsConfirmedSoonAfterTheStoreReturns(t *testing.T) {
-	run(t, watch.Operator, 1800*time.Millisecond, 0, func(w *world) {
-		w.source.set(func(s *source) { s.silent = true })
-		time.Sleep(4500 * time.Millisecond)
+	// bound is the sum of the longest pause after a failed call and the time after which a call at a silent store fails.
+	const bound = 1600 * time.Millisecond
 
-		w.source.set(func(s *source) { s.silent = false })
+	for silence := 3 * time.Second; silence <= 6*time.Second; silence += 250 * time.Millisecond {
+		run(t, watch.Operator, 1800*time.Millisecond, 0, func(w *world) {
+			w.source.set(func(s *source) { s.silent = true })
+			time.Sleep(silence)
 
-		var before, after int
+			w.source.set(func(s *source) { s.silent = false })
 
-		w.source.set(func(s *source) { before = s.calls })
-		time.Sleep(1600 * time.Millisecond)
-		w.source.set(func(s *source) { after = s.calls })
-		assert.Assert(t, after > before, "the store was not asked again within 1.6 s of its return")
-	})
+			var before, after int
+
+			w.source.set(func(s *source) { before = s.answered })
+			time.Sleep(bound)
+			w.source.set(func(s *source) { after = s.answered })
+			assert.Assert(t, after > before, "no answer within %s after a silence of %s", bound, silence)
+		})
+	}
 }
 
 // Guards against servers that stay in the list although their removal was among the changes that the store forgot.
@@ -255,6 +264,36 @@
 	})
 }
 
+// Guards against requests to an evacuated failure domain, and against one that stays out after it was taken back while the
+// history was lost.
+func TestEvacuatedDomainsGetNoRequests(t *testing.T) {
+	run(t, watch.Operator, time.Second, 0, func(w *world) {
+		w.fleet.Put(fleet.Server{ID: "a", Service: "s", Domain: "d"}, fleet.Server{ID: "b", Service: "s", Domain: "e"})
+
+		usable := func() int { return len(w.fleet.Usable(time.Now(), "s")) }
+
+		w.source.put(watch.Evacuated{Domain: "d", Active: true})
+		time.Sleep(time.Second)
+		assert.Equal(t, usable(), 1)
+
+		w.source.put(watch.Evacuated{Domain: "e", Active: true})
+		time.Sleep(time.Second)
+		assert.Equal(t, usable(), 0)
+
+		w.source.put(watch.Evacuated{Domain: "d"})
+		time.Sleep(time.Second)
+		assert.Equal(t, usable(), 1)
+
+		w.source.set(func(s *source) {
+			s.forgot = true
+			s.all = nil
+			s.version++
+		})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, usable(), 2)
+	})
+}
+
 // Guards against a configuration that goes back to an older version.
 func TestOlderConfigurationIsNotApplied(t *testing.T) {
 	run(t, watch.Operator, time.Second, 0, func(w *world) {
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -94,9 +94,12 @@
 		Changed: make(chan struct{}, 1),
 	}
 
-	server.Links = &link.Links{Pool: pool, Port: settings.FirstPort, Log: p.log, Settings: func(of fleet.Server) (*relay.Settings, bool) {
-		return server.AgentSettings(of, settings.VM, settings.Bounds.ColdFactor, settings.Bounds.ColdExtra)
-	}}
+	server.Links = &link.Links{
+		Pool: pool, Port: settings.FirstPort, Log: p.log, Confirmed: server.Fresh.Confirmed, Relayed: server.Relayed,
+		Settings: func(of fleet.Server) (*relay.Settings, bool) {
+			return server.AgentSettings(of, settings.VM, settings.Bounds.ColdFactor, settings.Bounds.ColdExtra)
+		},
+	}
 	server.Spender = &quota.Spender{Granter: &link.Grants{Links: server.Links, Entry: settings.VM}, Entries: server.Links.Entries}
 
 	servers.Changed = server.Wake
