Assert in the hosted programs what each send and refusal must keep

Cause: the hosted programs asserted the bucket and four limits of the scheduler only, and violated invariants went to the standard logger, whose text on standard error nobody collects there.

Change: eleven assertions before each send, at each refusal, start and load, named after what they guard; the standard logger of a hosted process writes to its structured log. Ruled out: an assertion on adapters beyond the places after a replacement, since the configuration may take places away.

--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -142,6 +142,7 @@
 		err = fault.Wrap(err, fault.OutcomeUnknown, "the request may have run at %d servers", j.ran)
 	}
 
+	checkError(j, err)
 	e.reportEnd(j, err)
 
 	if j.begun {
@@ -154,6 +155,7 @@
 
 // send sends the request to one server and passes the answer on.
 func (e *Entry) send(ctx context.Context, j *job, server fleet.Server) message.Event {
+	checkSend(j, server)
 	j.splitter.Restart()
 
 	answer := &answer{entry: e, job: j}
@@ -165,6 +167,8 @@
 		last = e.direct(ctx, j, server, answer.take)
 	}
 
+	checkRefused(j, answer.status, last)
+
 	if _, ended := last.(message.Ended); ended {
 		e.health.pass(server.ID)
 		return answer.end()
--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -281,6 +281,7 @@
 		found.since = now
 		found.used = now
 		s.remember(now, order.Adapter)
+		invariant.Check(found.version > 0 || s.places() <= s.limits.Places, "schedule.places", "%d adapters are held or in transit", s.places())
 	default:
 		delete(s.held, order.Adapter)
 	}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -241,6 +241,8 @@
 
 	invariant.Check(s.running <= max(s.limits.Slots, 1), "schedule.slots", "%d requests run on %d slots", s.running, s.limits.Slots)
 	invariant.Check(s.reading <= readers, "schedule.readers", "%d prompts are read at once", s.reading)
+	invariant.Check(s.limits.Rate <= 0 || len(s.starts) <= s.limits.Rate, "schedule.rate", "%d requests start in %s", len(s.starts), rateWindow)
+	invariant.Check(s.present(ticket), "schedule.present", "adapter %s is not there", ticket.Adapter.Name)
 
 	if found := s.held[ticket.Adapter]; found != nil {
 		found.users++
--- a/internal/program/hosted/process.go
+++ b/internal/program/hosted/process.go
@@ -73,6 +73,12 @@
 	log.SetFormatter(&logs.Budget{Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}, Lines: logLines})
 	log.SetOutput(writer)
 
+	if given == nil {
+		// Violated invariants go to the standard logger.
+		logrus.SetFormatter(log.Formatter)
+		logrus.SetOutput(writer)
+	}
+
 	p.log = log.WithField("vm", settings.VM)
 	metric.Gauge(p.metrics, "log.dropped", writer.Dropped)
 	metric.Gauge(p.metrics, "invariant.violation", invariant.Counter.Count)
