Play loads against the decisions of the hosted programs in virtual time

Change: `measure play FILE` reads policies, loads and the number of seeds from a YAML file, plays forward/place and forward/schedule against models of model servers, the weight store and callers, several runs at a time, and writes a table and plots (gonum). Readers, fetches and the order of late requests are a schedule.Policy, so that a policy differs from ours in one decision. Equal candidates for an unload are decided by name, so that a run repeats.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 TIME ?= 20s
 
-.PHONY: build test lint format generate demo soak measure slopes bench fuzz
+.PHONY: build test lint format generate demo soak measure measure-own slopes bench fuzz
 
 build:
 	go build -o bin/chestnutbeam ./cmd/chestnutbeam
@@ -39,9 +39,13 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
-# Compares policies in virtual time; prints one line for each policy and measure.
+# Plays the loads and policies of a YAML file against the decisions of the hosted programs, in virtual time.
 measure:
-	go run ./cmd/measure -seed $(SEED)
+	go run ./cmd/measure play examples/measure.yaml
+
+# Compares policies of the product's own path in virtual time; prints one line for each policy and measure.
+measure-own:
+	go run ./cmd/measure own --seed $(SEED)
 
 # Runs each fuzz target of the platform adapter and of the event splitter for a while; CI runs their seeds only.
 fuzz:
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -2,43 +2,100 @@
 package main
 
 import (
-	"flag"
 	"fmt"
+	"io"
 	"os"
 
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/measure/play"
 	"github.com/chestnutbeam/chestnutbeam/internal/measure/policy"
 )
 
+// playCommand plays an experiment against the decisions of the programs on the users' platform.
+type playCommand struct {
+	File  string `arg:"positional,required" help:"YAML file with policies, loads and the number of seeds"`
+	Seeds int    `arg:"--seeds" help:"number of seeds, in place of that in the file"`
+	Plot  string `arg:"--plot" placeholder:"DIR" help:"directory for one SVG file for each load"`
+}
+
+// ownCommand measures the limits and the admission of the product's own path.
+type ownCommand struct {
+	Seed   uint64 `arg:"--seed" default:"1" help:"seed of the arrivals"`
+	Policy string `arg:"--policy" help:"measure only this policy"`
+	Bursty bool   `arg:"--bursty" help:"let the account that exceeds its rate pause 9 s in each minute"`
+}
+
+type arguments struct {
+	Play *playCommand `arg:"subcommand:play" help:"play an experiment"`
+	Own  *ownCommand  `arg:"subcommand:own" help:"measure the product's own path"`
+}
+
 func main() {
-	seed := flag.Uint64("seed", 1, "seed of the arrivals")
-	name := flag.String("policy", "", "measure only this policy")
-	bursty := flag.Bool("bursty", false, "let the account that exceeds its rate pause 9 s in each minute")
-	flag.Parse()
+	var args arguments
+
+	parser := arg.MustParse(&args)
+	if parser.Subcommand() == nil {
+		parser.Fail("needs a subcommand")
+	}
+
+	if err := args.run(); err != nil {
+		_, _ = fmt.Fprintf(os.Stderr, "measure: %v\n", err)
+
+		os.Exit(1)
+	}
+}
+
+func (a *arguments) run() error {
+	if a.Play != nil {
+		return a.Play.run(os.Stdout, os.Stderr)
+	}
+
+	return a.Own.run(os.Stdout)
+}
+
+func (c *playCommand) run(table, progress io.Writer) error {
+	experiment, err := play.Read(c.File)
+	if err != nil {
+		return errors.Wrap(err, "play")
+	}
+
+	if c.Seeds > 0 {
+		experiment.Seeds = c.Seeds
+	}
+
+	rows := play.Run(experiment, func(ended, all int) { _, _ = fmt.Fprintf(progress, "\r%d of %d runs", ended, all) })
+	_, _ = fmt.Fprintln(progress)
+
+	if err := play.Table(table, rows); err != nil {
+		return errors.Wrap(err, "play")
+	}
 
+	if c.Plot == "" {
+		return nil
+	}
+
+	return errors.Wrap(play.Plot(c.Plot, rows), "play")
+}
+
+func (c *ownCommand) run(to io.Writer) error {
 	var chosen []policy.Policy
 
 	for _, one := range policy.Policies() {
-		if *name == "" || one.Name == *name {
+		if c.Policy == "" || one.Name == c.Policy {
 			chosen = append(chosen, one)
 		}
 	}
 
 	if len(chosen) == 0 {
-		fail(fmt.Errorf("there is no policy %q", *name))
+		return errors.Newf("there is no policy %q", c.Policy)
 	}
 
-	plan := policy.Full(*seed)
-	if *bursty {
-		plan = policy.Bursty(*seed)
+	plan := policy.Full(c.Seed)
+	if c.Bursty {
+		plan = policy.Bursty(c.Seed)
 	}
 
-	if err := policy.Print(os.Stdout, policy.Measure(plan, chosen...)); err != nil {
-		fail(err)
-	}
-}
-
-func fail(err error) {
-	_, _ = fmt.Fprintf(os.Stderr, "measure: %v\n", err)
-
-	os.Exit(1)
+	return errors.Wrap(policy.Print(to, policy.Measure(plan, chosen...)), "print")
 }
--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -83,7 +83,7 @@
 	}
 
 	for _, ticket := range s.ordered(now) {
-		if !s.missing(ticket) || s.fetching() >= fetches && !s.atHand(ticket) {
+		if !s.missing(ticket) || s.fetching() >= s.policy().Fetches && !s.atHand(ticket) {
 			continue
 		}
 
@@ -132,7 +132,8 @@
 		var oldest Adapter
 
 		for other, used := range s.recent {
-			if oldest.Name == "" || used.Before(s.recent[oldest]) {
+			first := s.recent[oldest]
+			if oldest.Name == "" || used.Before(first) || used.Equal(first) && other.Name < oldest.Name {
 				oldest = other
 			}
 		}
@@ -232,7 +233,7 @@
 	return used <= s.limits.Capacity
 }
 
-// victim returns the least recently used adapter that no request uses or waits for.
+// victim returns the least recently used adapter that no request uses or waits for; names decide between equals.
 func (s *Scheduler) victim() (Adapter, bool) {
 	wanted := map[Adapter]bool{}
 	for _, ticket := range s.queue {
@@ -249,7 +250,7 @@
 			continue
 		}
 
-		if chosen == nil || found.used.Before(chosen.used) {
+		if chosen == nil || found.used.Before(chosen.used) || found.used.Equal(chosen.used) && name.Name < oldest.Name {
 			oldest, chosen = name, found
 		}
 	}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -11,14 +11,8 @@
 )
 
 const (
-	// readers is the number of requests whose prompts the server reads at once. Prompts are read between the output
-	// tokens of running requests, so that more of them would make the pauses of running streams too long.
-	readers = 1
 	// transit is the number of adapters that may be in transit to a server at once, by the platform's protocol.
 	transit = 4
-	// fetches is the number of adapters that a server fetches from the weight store at once. The store slows down beyond
-	// eight fetches over all servers, and requests that wait too long for theirs would cause further fetches elsewhere.
-	fetches = 1
 	// handy is the number of adapters that a server is believed to keep at hand after their unload.
 	handy = 90
 	// loadTime is how long an adapter may be missing from the reports after its order was accepted.
@@ -32,6 +26,9 @@
 
 // Scheduler tracks one model server. It is not safe for concurrent use.
 type Scheduler struct {
+	// Policy is set before use.
+	Policy Policy
+
 	limits Limits
 	report Report
 	// reported says that the server has answered and does so still.
@@ -70,6 +67,14 @@
 	used  time.Time
 }
 
+func (s *Scheduler) policy() Policy {
+	if s.Policy == (Policy{}) {
+		return Default
+	}
+
+	return s.Policy
+}
+
 // Configure sets the limits of the server.
 func (s *Scheduler) Configure(limits Limits) {
 	s.limits = limits
@@ -162,6 +167,10 @@
 func (s *Scheduler) ordered(now time.Time) []*Ticket {
 	tickets := slices.Clone(s.queue)
 
+	if s.policy().Arrival {
+		return tickets
+	}
+
 	slices.SortStableFunc(tickets, func(a, b *Ticket) int {
 		late, other := now.After(a.Due), now.After(b.Due)
 
@@ -202,7 +211,7 @@
 }
 
 func (s *Scheduler) room(now time.Time, ticket *Ticket) bool {
-	if !s.reported || s.reading >= readers || s.running >= s.limits.Slots {
+	if !s.reported || s.reading >= s.policy().Readers || s.running >= s.limits.Slots {
 		return false
 	}
 
@@ -240,7 +249,7 @@
 	ticket.phase = reading
 
 	invariant.Check(s.running <= max(s.limits.Slots, 1), "schedule.slots", "%d requests run on %d slots", s.running, s.limits.Slots)
-	invariant.Check(s.reading <= readers, "schedule.readers", "%d prompts are read at once", s.reading)
+	invariant.Check(s.reading <= s.policy().Readers, "schedule.readers", "%d prompts are read at once", s.reading)
 	invariant.Check(s.limits.Rate <= 0 || len(s.starts) <= s.limits.Rate, "schedule.rate", "%d requests start in %s", len(s.starts), rateWindow)
 	invariant.Check(s.present(ticket), "schedule.present", "adapter %s is not there", ticket.Adapter.Name)
 
@@ -261,7 +270,7 @@
 		}
 	}
 
-	if len(s.queue) > 0 && len(s.starts) > 0 && s.reading < readers {
+	if len(s.queue) > 0 && len(s.starts) > 0 && s.reading < s.policy().Readers {
 		if free := s.starts[0].Add(rateWindow); free.Before(next) {
 			next = free
 		}
--- /dev/null
+++ b/internal/measure/play/plot.go
@@ -0,0 +1,72 @@
+package play
+
+import (
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Plot writes one SVG file for each load into a directory: the share on time over the time of arrival, by policy.
+func Plot(directory string, rows []Row) error {
+	for len(rows) > 0 {
+		count := 1
+		for count < len(rows) && rows[count].Load == rows[0].Load {
+			count++
+		}
+
+		if err := plotLoad(directory, rows[:count]); err != nil {
+			return errors.Wrapf(err, "plot load %s", rows[0].Load)
+		}
+
+		rows = rows[count:]
+	}
+
+	return nil
+}
+
+func plotLoad(directory string, rows []Row) error {
+	chart := plot.New()
+	chart.Title.Text = rows[0].Load
+	chart.X.Label.Text = "arrival, s"
+	chart.Y.Label.Text = "on time, %"
+	chart.Y.Min, chart.Y.Max = 0, 100
+
+	lines := make([]any, 0, 2*len(rows))
+
+	for _, row := range rows {
+		lines = append(lines, row.Policy, row.points())
+	}
+
+	if err := plotutil.AddLines(chart, lines...); err != nil {
+		return errors.Wrap(err, "add lines")
+	}
+
+	name := strings.ReplaceAll(rows[0].Load, "/", "-") + ".svg"
+
+	return errors.Wrap(chart.Save(plotWidth, plotHeight, filepath.Join(directory, name)), "save")
+}
+
+// points returns the mean share on time of each window.
+func (r *Row) points() plotter.XYs {
+	points := make(plotter.XYs, len(r.Seeds[0].Windows))
+
+	for i := range points {
+		points[i].X = float64(i) * window.Seconds()
+
+		for _, result := range r.Seeds {
+			points[i].Y += 100 * result.Windows[i] / float64(len(r.Seeds))
+		}
+	}
+
+	return points
+}
