Order the model of a restarted server at once, keep adapters nearer to their home, give refusals a package of their own

Restarted servers. Ruled out: the time to read the store (0.1 s) and the links to the agents (0.3 s). Change: orders carry no id; they go to the server that has just answered the report, on the same VM, and the expected count keeps late ones void.

Cause: a request left the home of its adapter for any queue of fetches there, and the copy that it made cost a fetch that delayed others. Change: a load elsewhere costs 500 ms instead of 400, each fetch ahead 100 ms instead of 300.

When a request is refused, with which time to come back, and how long it may wait, is forward/refuse, used by entries and by the player of loads, which had a copy.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -40,8 +40,9 @@
 type Engine interface {
 	// Report asks the server for its state.
 	Report(ctx context.Context) (schedule.Report, error)
-	// Order sends an order once. The instance is the id under which the server is listed; empty if unknown.
-	Order(ctx context.Context, instance string, order schedule.Order) (schedule.Outcome, error)
+	// Order sends an order once. It goes to whatever server the last report came from: a server that has just started is
+	// listed under its new id only later.
+	Order(ctx context.Context, order schedule.Order) (schedule.Outcome, error)
 }
 
 // Agent is the process beside a model server. Its exported fields are set before Run.
@@ -61,9 +62,8 @@
 	scheduler schedule.Scheduler
 	// waiters are told the decision on a request.
 	waiters map[*schedule.Ticket]chan schedule.Action
-	// instance is the id under which the model server is listed, as the entries say.
-	instance string
-	version  int64
+	// version is the newest one of the configuration that an entry has stated.
+	version int64
 	// confirmed is when the store last confirmed that version to an entry, on freshness.Clock, and known that it did.
 	confirmed time.Duration
 	known     bool
@@ -175,7 +175,6 @@
 func (a *Agent) orderOnce(ctx context.Context) bool {
 	a.mu.Lock()
 	order, ok := a.scheduler.Order(time.Now())
-	instance := a.instance
 	a.mu.Unlock()
 
 	if !ok {
@@ -185,7 +184,7 @@
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 
-	outcome, err := a.Engine.Order(bounded, instance, order)
+	outcome, err := a.Engine.Order(bounded, order)
 
 	metric.Count(a.Metrics, "order."+order.Kind.String()+"."+outcome.String())
 	a.Log.WithFields(logrus.Fields{
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -78,7 +78,6 @@
 
 	a.confirm(settings)
 	a.version = settings.GetConfigVersion()
-	a.instance = settings.GetInstance()
 
 	limits := schedule.Limits{
 		Slots:    int(settings.GetSlots()),
--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -4,12 +4,11 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/place"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/refuse"
 )
 
 // choose returns the server that the request goes to next.
@@ -62,16 +61,11 @@
 	}
 
 	at, wait := place.Choose(place.Query{Adapter: j.placeName(), Domain: e.Domain}, engines)
-	if at < 0 && loading {
-		return fleet.Server{}, fault.New(fault.NoServer, "the model servers load the model").WithRetry(spread(j.request.ID, modelPause))
-	}
-
-	if at < 0 {
-		return fleet.Server{}, fault.New(fault.NoServer, "no model server for the request in service").WithRetry(spread(j.request.ID, noServerPause))
-	}
-
-	if wait > j.patience() && wait > j.route.Objective {
-		return fleet.Server{}, fault.New(fault.Overloaded, "every model server has a wait of %d ms or more", wait.Milliseconds()).WithRetry(wait)
+	refused := refuse.Model(refuse.Choice{
+		ID: j.request.ID, Found: at >= 0, Wait: wait, Loading: loading, Patience: j.patience(), Objective: j.route.Objective,
+	})
+	if refused != nil {
+		return fleet.Server{}, refused
 	}
 
 	j.expected = wait
@@ -79,22 +73,6 @@
 	return usable[at], nil
 }
 
-const (
-	// noServerPause is the time to come back when no server is in service.
-	noServerPause = 500 * time.Millisecond
-	// modelPause is the time to come back while servers that started empty load the model from their own disks.
-	modelPause = 2500 * time.Millisecond
-	// spreadShare is the part of a time to come back over which callers are spread, so that they do not return at once.
-	spreadShare = 0.5
-)
-
-// spread adds up to spreadShare to a time to come back, the same for the same request.
-func spread(id string, pause time.Duration) time.Duration {
-	const steps = 1 << 10
-
-	return pause + time.Duration(spreadShare*float64(pause)*float64(xxhash.Sum64String(id)%steps)/steps)
-}
-
 // placeName returns the name by which servers are ranked for the request.
 func (j *job) placeName() string {
 	if j.request.Adapter == "" && len(j.request.Parts) > 0 {
@@ -144,7 +122,7 @@
 
 	at := place.ChoosePlain(e.Domain, candidates)
 	if at < 0 {
-		return fleet.Server{}, fault.New(fault.NoServer, "no server of the service in service").WithRetry(spread(j.request.ID, noServerPause))
+		return fleet.Server{}, refuse.Plain(j.request.ID)
 	}
 
 	return servers[at], nil
--- a/internal/forward/entry/follow.go
+++ b/internal/forward/entry/follow.go
@@ -71,7 +71,6 @@
 
 	engine := service.Engine
 	settings := &relay.Settings{
-		Instance:      server.ID,
 		ConfigVersion: config.Version,
 		Slots:         int32(engine.Slots),
 		Places:        int32(engine.Places),
--- a/internal/forward/place/place.go
+++ b/internal/forward/place/place.go
@@ -16,13 +16,14 @@
 	// homeCost is the expected cost of a load at the home of an adapter, which likely has a copy at hand.
 	homeCost = 200 * time.Millisecond
 	// awayCost is the cost of a load elsewhere. It is above the wait of a fetch, because each fetch slows others.
-	awayCost = 400 * time.Millisecond
+	awayCost = 500 * time.Millisecond
 	// reuseCost prefers servers that likely have the shared parts of a prompt read already: those of a low rank.
 	reuseCost = 2 * time.Millisecond
 	// rankCost keeps the order of the servers in which copies are made.
 	rankCost = 10 * time.Millisecond
-	// fetchTime is the time of a fetch that others wait for.
-	fetchTime = 300 * time.Millisecond
+	// fetchCost is the cost of each fetch that a load waits for. It is below the time of a fetch: requests that leave the home
+	// of their adapter for its queue cause further fetches there.
+	fetchCost = 100 * time.Millisecond
 	// crowdedCost is the cost of a load at a server whose places are all in use.
 	crowdedCost = 1500 * time.Millisecond
 	// runCost is the slowdown by one running request.
@@ -110,13 +111,13 @@
 	case e.Residency == Present:
 		return 0
 	case e.Residency == Loading:
-		return loadingCost + time.Duration(e.Fetches)*fetchTime/2
+		return loadingCost + time.Duration(e.Fetches)*fetchCost/2
 	case e.Idle <= 0:
 		return crowdedCost
 	case rank == 0:
-		return homeCost + time.Duration(e.Fetches)*fetchTime
+		return homeCost + time.Duration(e.Fetches)*fetchCost
 	default:
-		return awayCost + time.Duration(rank)*rankCost + time.Duration(e.Fetches)*fetchTime
+		return awayCost + time.Duration(rank)*rankCost + time.Duration(e.Fetches)*fetchCost
 	}
 }
 
--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -128,7 +128,7 @@
 func (s *Scheduler) remember(now time.Time, name Adapter) {
 	s.recent[name] = now
 
-	for len(s.recent) > handy {
+	for len(s.recent) > keptLimit {
 		var oldest Adapter
 
 		for other, used := range s.recent {
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -13,8 +13,8 @@
 const (
 	// transit is the number of adapters that may be in transit to a server at once, by the platform's protocol.
 	transit = 4
-	// handy is the number of adapters that a server is believed to keep at hand after their unload.
-	handy = 90
+	// keptLimit is the number of adapters that a server is believed to keep at hand after their unload.
+	keptLimit = 90
 	// loadTime is how long an adapter may be missing from the reports after its order was accepted.
 	loadTime = 2 * time.Second
 	// orderPause is the wait after an order without a clear answer.
@@ -147,7 +147,7 @@
 	var actions []Action
 
 	for _, ticket := range s.ordered(now) {
-		if err := s.hopeless(now, ticket); err != nil {
+		if err := s.refusal(now, ticket); err != nil {
 			s.Remove(ticket)
 			actions = append(actions, Refuse{Ticket: ticket, Err: err})
 
@@ -187,8 +187,8 @@
 	return tickets
 }
 
-// hopeless returns why a request can't be served here.
-func (s *Scheduler) hopeless(now time.Time, ticket *Ticket) *fault.Error {
+// refusal returns why a request can't be served here.
+func (s *Scheduler) refusal(now time.Time, ticket *Ticket) *fault.Error {
 	switch {
 	case s.closed:
 		return fault.New(fault.Draining, "the agent is shutting down")
--- a/internal/measure/play/call.go
+++ b/internal/measure/play/call.go
@@ -1,19 +1,17 @@
 package play
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/refuse"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 )
 
 const (
 	// dueMargin is the time that a server takes to read a prompt and to write the first output.
 	dueMargin = 150 * time.Millisecond
-	// abandonTime and abandonObjectives times the objective bound the silence after which a caller leaves.
-	abandonTime       = 2 * time.Second
-	abandonObjectives = 4
-	// readingTime is kept for reading the prompt before the caller leaves.
-	readingTime = 400 * time.Millisecond
 	// refusalLimit is the number of servers that may refuse a request.
 	refusalLimit = 3
 )
@@ -38,24 +36,28 @@
 	ended bool
 }
 
+func (c *call) id() string {
+	return strconv.Itoa(c.number)
+}
+
 // patience returns how long the request may wait for its turn.
-func (c *call) patience(now time.Time, objective time.Duration) time.Duration {
-	return max(abandonTime, abandonObjectives*objective) - now.Sub(c.asked) - readingTime
+func (c *call) patience(now time.Time, load *Load) time.Duration {
+	return refuse.StreamPatience(load.Objective, load.Pause, now.Sub(c.asked), time.Hour)
 }
 
-func (c *call) ticket(now time.Time, objective time.Duration) *schedule.Ticket {
+func (c *call) ticket(now time.Time, load *Load) *schedule.Ticket {
 	return &schedule.Ticket{
 		Adapter: c.adapter,
 		Input:   c.input,
 		Output:  c.output,
 		Arrived: now,
-		Due:     now.Add(objective - dueMargin),
-		Expires: now.Add(c.patience(now, objective)),
+		Due:     now.Add(load.Objective - dueMargin),
+		Expires: now.Add(c.patience(now, load)),
 	}
 }
 
 // refused takes the refusal of an agent.
-func (c *call) refused(by *server) {
+func (c *call) refused(by *server, err *fault.Error) {
 	c.refusals++
 	c.passed[by] = true
 
@@ -64,7 +66,7 @@
 		return
 	}
 
-	c.entry.refuse(c, 0)
+	c.entry.refuse(c, err)
 }
 
 // lost takes the loss of the server.
@@ -94,5 +96,6 @@
 	}
 
 	c.ended = true
+	c.entry.world.open--
 	c.entry.world.result.add(c, outcome)
 }
--- a/internal/measure/play/entry.go
+++ b/internal/measure/play/entry.go
@@ -1,9 +1,9 @@
 package play
 
 import (
-	"time"
-
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/place"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/refuse"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 )
 
@@ -39,10 +39,11 @@
 
 	query := place.Query{Adapter: modelName + "/" + c.adapter.Name, Domain: e.domain}
 	at, wait := w.policy.choose(w.rng, query, engines)
-	patience := c.patience(w.clock.now, w.load.Objective)
-
-	if at < 0 || wait > patience && wait > w.load.Objective {
-		e.refuse(c, wait)
+	refused := refuse.Model(refuse.Choice{
+		ID: c.id(), Found: at >= 0, Wait: wait, Patience: c.patience(w.clock.now, w.load), Objective: w.load.Objective,
+	})
+	if refused != nil {
+		e.refuse(c, refused)
 		return
 	}
 
@@ -51,11 +52,11 @@
 	count.tokens += c.input
 	e.sent[servers[at]] = count
 
-	servers[at].add(c, c.ticket(w.clock.now, w.load.Objective))
+	servers[at].add(c, c.ticket(w.clock.now, w.load))
 }
 
-// refuse tells a caller to come back once after the wait, and ends the request when it was refused before.
-func (e *entry) refuse(c *call, wait time.Duration) {
+// refuse tells a caller when to come back, and ends the request when it was refused before.
+func (e *entry) refuse(c *call, err *fault.Error) {
 	if c.again {
 		c.finish(outcomeRefused)
 		return
@@ -64,7 +65,7 @@
 	c.again = true
 	c.refusals = 0
 	clear(c.passed)
-	e.world.clock.after(max(wait, shortestRetry), func() {
+	e.world.clock.after(err.Retry(), func() {
 		c.asked = e.world.clock.now
 		e.send(c)
 	})
--- a/internal/measure/play/server.go
+++ b/internal/measure/play/server.go
@@ -74,7 +74,7 @@
 		case schedule.Refuse:
 			c := s.calls[decided.Ticket]
 			delete(s.calls, decided.Ticket)
-			c.refused(s)
+			c.refused(s, decided.Err)
 		}
 	}
 
--- a/internal/measure/play/world.go
+++ b/internal/measure/play/world.go
@@ -12,8 +12,6 @@
 const (
 	// statePeriod is the time between two states of a server at the entries.
 	statePeriod = 100 * time.Millisecond
-	// shortestRetry is the shortest time after which a refused caller comes back.
-	shortestRetry = 500 * time.Millisecond
 	// sizeSpread is the factor between the shortest and the longest prompt or output.
 	sizeSpread = 3
 	// capacity is the size of the weights that fit into a server in MB, beside which the places decide.
@@ -31,9 +29,8 @@
 	store   store
 	servers []*server
 	entries []*entry
-	// ranks maps the rank of an adapter to its number.
-	ranks  []int
-	zipf   *rand.Zipf
+	// open counts the requests that have not ended.
+	open   int
 	result *Result
 }
 
@@ -89,8 +86,8 @@
 // arrive draws all requests at once, so that the answers to earlier ones change nothing.
 func (w *world) arrive(rng *rand.Rand) {
 	load := w.load
-	w.zipf = rand.NewZipf(rng, load.Skew, 1, uint64(load.Adapters-1))
-	w.ranks = rng.Perm(load.Adapters)
+	zipf := rand.NewZipf(rng, load.Skew, 1, uint64(load.Adapters-1))
+	ranks := rng.Perm(load.Adapters)
 	shifts := slices.Clone(load.Shifts)
 	at := time.Duration(0)
 
@@ -102,19 +99,20 @@
 
 		for len(shifts) > 0 && at >= shifts[0] {
 			shifts = shifts[1:]
-			w.ranks = rng.Perm(load.Adapters)
+			ranks = rng.Perm(load.Adapters)
 		}
 
 		c := &call{
 			number:  number,
 			entry:   w.entries[rng.IntN(len(w.entries))],
-			adapter: schedule.Adapter{Model: modelName, Name: "a" + strconv.Itoa(w.ranks[w.zipf.Uint64()])},
+			adapter: schedule.Adapter{Model: modelName, Name: "a" + strconv.Itoa(ranks[zipf.Uint64()])},
 			input:   size(rng, load.Prompt),
 			output:  size(rng, load.Output),
 			arrived: start.Add(at),
 			asked:   start.Add(at),
 			passed:  map[*server]bool{},
 		}
+		w.open++
 		w.clock.after(at, func() { c.entry.send(c) })
 	}
 }
@@ -169,5 +167,7 @@
 		}
 	}
 
-	w.clock.after(statePeriod, w.publish)
+	if w.open > 0 {
+		w.clock.after(statePeriod, w.publish)
+	}
 }
