Soak the hosted programs as processes; take SIGHUP from the start of a program on

Cause: the product's soak covers its own path in virtual time; the hosted programs were disturbed only by the users' bench.

Change: platform/soak runs two entries and three agents as processes on loopback, with proxies before the store, the agents and the plain servers, and 20 kinds of disturbance in two series that overlap. Checks come from what callers got and servers saw.

SIGHUP came between its start and the installation of its handler. The signal is now taken from the initialisation of the program on (core/hangup, with a test); other commands get the default action back. Before the Go runtime is up the signal ends any process, so the soak sends it only to processes that have written a line.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 MINUTES ?= 10
+SEEDS ?= 50
+LENGTH ?= 15s
 
 TIME ?= 20s
 
-.PHONY: build test lint format generate demo soak measure measure-own slopes bench fuzz
+.PHONY: build test lint format generate demo soak soak-hosted measure measure-own slopes bench fuzz
 
 build:
 	go build -o bin/chestnutbeam ./cmd/chestnutbeam
@@ -31,6 +33,10 @@
 soak:
 	go test -count=1 -timeout 0 -v -run '^TestSoakLong$$' ./internal/trial/soak -soak.seed $(SEED) -soak.minutes $(MINUTES)
 
+# Randomised runs of the hosted programs as processes: SEEDS seeds from SEED on, each disturbed for LENGTH.
+soak-hosted:
+	go test -count=1 -timeout 0 -run '^TestSeeds$$' ./platform/soak -soak.first $(SEED) -soak.seeds $(SEEDS) -soak.length $(LENGTH)
+
 # Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
 slopes:
 	go run ./cmd/slopes
--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -11,6 +11,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/core/hangup"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/check"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
 	"github.com/chestnutbeam/chestnutbeam/internal/program/command"
@@ -48,6 +49,10 @@
 
 	parser := arg.MustParse(&args)
 
+	if args.Hosted == nil {
+		hangup.Default()
+	}
+
 	chosen := args.chosen()
 	if chosen == nil {
 		parser.Fail("a subcommand is required: entry, agent, ctl, check, standin or hosted")
