Show that entries cut off from a holder spend beyond the share of an account; list it as known red

Cause: an entry that does not reach the holder spends half of its equal share, and the holder gives the others the whole rate; the bound of a tenth holds only while at most a fifth of the entries are cut off.

--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -123,6 +123,66 @@
 	})
 }
 
+// Guards against more than the platform tolerates when some entries reach the holder and others spend their reserve: seed 103
+// of the soak had 8,690 tokens in 4 s, and 8,650 were allowed.
+func TestShareWhileSomeEntriesLackTheHolder(t *testing.T) {
+	const (
+		window  = 8 * time.Second
+		overage = 0.1
+		callers = 4
+	)
+
+	cases := map[string]struct{ entries, cut int }{
+		"one of two":  {entries: 2, cut: 1},
+		"two of five": {entries: 5, cut: 2},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				held := &direct{age: time.Hour}
+				held.holder.Set(time.Now(), "acme", rate, burst)
+				time.Sleep(burst / rate * time.Second)
+
+				entries := make([]*quota.Spender, c.entries)
+
+				for i := range entries {
+					granter := held
+					if i < c.cut {
+						granter = &direct{away: true}
+					}
+
+					entries[i] = &quota.Spender{Granter: granter, Entries: func() int { return c.entries }}
+				}
+
+				var (
+					group sync.WaitGroup
+					spent atomic.Int64
+				)
+
+				begun := time.Now()
+
+				for _, entry := range entries {
+					for range callers {
+						group.Go(func() {
+							for ; time.Since(begun) < window; time.Sleep(10 * time.Millisecond) {
+								if entry.Spend(t.Context(), "acme", rate, burst, cost) == nil {
+									spent.Add(cost)
+								}
+							}
+						})
+					}
+				}
+
+				group.Wait()
+
+				allowed := (rate*window.Seconds() + burst) * (1 + overage)
+				assert.Assert(t, float64(spent.Load()) <= allowed, "%d tokens, %.0f are allowed", spent.Load(), allowed)
+			})
+		})
+	}
+}
+
 // Guards against tokens that a frozen entry saved up and spends later.
 func TestGrantsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
