Withhold the reserve of unconnected entries from the rate of an account

Cause: an entry that cannot reach the holder of an account spends half of its equal share, and the holder went on granting the whole rate to the others. With one of two entries cut off, 12,050 tokens were spent where 11,000 are allowed; with two of five, 11,550. An entry whose first request of an account came after it had lost its connections also took itself for the only one and used half of the whole rate (5,000 tokens in 10 s, 1,100 are its reserve).

Ruled out: a reserve of a tenth for all entries together, which refuses most requests of an account while its holder is away (TestHolderOutOfReach asks for 0.4 of the rate).

Change: the holder is told how many entries there are and how many are connected, and withholds the reserve of the others. Both sides remember the largest number of entries for 30 s, so that an entry that loses its connections keeps its own share.

TestShareWhileSomeEntriesLackTheHolder failed before and passes; its check and bounds are as they were, and it now tells the holder, as an agent does, which entries are connected.

--- a/internal/forward/quota/holder.go
+++ b/internal/forward/quota/holder.go
@@ -22,12 +22,16 @@
 // Holder holds the token buckets of client accounts. It is not safe for concurrent use.
 type Holder struct {
 	buckets map[string]*accountBucket
+	// entries is the peak of the number of entries in the system.
+	entries peak
+	// withheld is the part of each rate that is not granted, because it is the reserve of the entries that are not connected.
+	withheld float64
 }
 
 // accountBucket is the token bucket of one account.
 type accountBucket struct {
 	bucket *bucket.Bucket
-	// rate and burst are in units of the bucket.
+	// rate and burst are those of the account, in units of the bucket.
 	rate, burst int64
 	// since is the start of the tenure; it is set if assigned is true.
 	since time.Time
@@ -45,14 +49,40 @@
 
 	found := h.buckets[account]
 	if found == nil {
-		h.buckets[account] = &accountBucket{bucket: bucket.New(now, perSecond, capacity, 0), rate: perSecond, burst: capacity}
+		h.buckets[account] = &accountBucket{bucket: bucket.New(now, h.granted(perSecond), capacity, 0), rate: perSecond, burst: capacity}
 		return
 	}
 
-	found.bucket.SetLimits(now, perSecond, capacity)
+	found.bucket.SetLimits(now, h.granted(perSecond), capacity)
 	found.rate, found.burst = perSecond, capacity
 }
 
+// SetEntries sets the number of entries in the system, as connected entries report it, and the number of connected ones. The
+// others may be using their reserves, which are part of the rate of each account, so that much less is granted.
+func (h *Holder) SetEntries(now time.Time, reported, connected int) {
+	known := h.entries.record(now, max(reported, connected))
+	withheld := 0.0
+
+	if known > 0 {
+		withheld = reserveShare * float64(known-connected) / float64(known)
+	}
+
+	if withheld == h.withheld {
+		return
+	}
+
+	h.withheld = withheld
+
+	for _, account := range h.buckets {
+		account.bucket.SetLimits(now, h.granted(account.rate), account.burst)
+	}
+}
+
+// granted returns the part of a rate that is granted to connected entries.
+func (h *Holder) granted(rate int64) int64 {
+	return int64(float64(rate) * (1 - h.withheld))
+}
+
 // Take returns up to the wanted tokens of an account; none for an unknown one. At the start of a tenure the bucket is empty,
 // because the previous holder may have granted the same tokens.
 func (h *Holder) Take(now time.Time, account string, wanted float64, tenure Tenure) float64 {
@@ -66,7 +96,7 @@
 	if !found.assigned || tenure.Moved && since.After(found.since.Add(tenureTolerance)) {
 		found.assigned = true
 		found.since = since
-		found.restart(now, tenure.Age)
+		found.restart(now, tenure.Age, h.granted(found.rate))
 	}
 
 	debitID, taken := found.bucket.Debit(now, toUnits(wanted))
@@ -75,10 +105,10 @@
 	return float64(taken) / bucket.UnitsPerToken
 }
 
-// restart reduces the level to what the rate has added since the start of the tenure.
-func (h *accountBucket) restart(now time.Time, age time.Duration) {
-	level := min(h.bucket.Level(now), bucket.Refill(h.rate, age))
-	h.bucket = bucket.New(now, h.rate, h.burst, level)
+// restart reduces the level to what the granted rate has added since the start of the tenure.
+func (a *accountBucket) restart(now time.Time, age time.Duration, granted int64) {
+	level := min(a.bucket.Level(now), bucket.Refill(granted, age))
+	a.bucket = bucket.New(now, granted, a.burst, level)
 }
 
 // toUnits converts tokens to units of the bucket.
--- a/internal/forward/quota/limiter.go
+++ b/internal/forward/quota/limiter.go
@@ -15,8 +15,8 @@
 	// grantLifetime is how long granted tokens may be used; older ones are discarded, so that a process that was paused does
 	// not use them in a later window.
 	grantLifetime = time.Second
-	// reserveShare is the fraction of an entry's equal share that it uses while it cannot reach the holder. Other entries may
-	// still get the whole rate from the holder, and the sum has to stay within the tolerated overage of a tenth.
+	// reserveShare is the fraction of an entry's equal share that it uses while it cannot reach the holder. The holder grants
+	// that much less for each entry that is not connected to it.
 	reserveShare = 0.5
 	// reserveWindow is the time for which unused tokens of the reserve accumulate.
 	reserveWindow = time.Second
@@ -44,11 +44,13 @@
 // Limiter limits the requests of client accounts at one entry. Its exported fields are set before use.
 type Limiter struct {
 	Granter Granter
-	// Entries returns the number of entries that share the accounts.
+	// Entries returns the number of entries that share the accounts, as far as this entry is connected.
 	Entries func() int
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// entries is the peak of Entries, which falls when this entry loses connections.
+	entries peak
 }
 
 type account struct {
@@ -62,8 +64,9 @@
 	windowStart time.Time
 	// reserve is the bucket that is used while the holder cannot be reached.
 	reserve *bucket.Bucket
-	// rate is the one for which reserve was made.
-	rate float64
+	// rate, burst and entries are those for which the limits of reserve were set.
+	rate, burst float64
+	entries     int
 	// retryHolderAt is the time before which no tokens are requested from the holder.
 	retryHolderAt time.Time
 	// waiting is the number of requests that wait for tokens.
@@ -151,15 +154,30 @@
 		l.accounts[name] = found
 	}
 
-	if found.rate != rate {
-		share := rate * reserveShare / float64(max(l.Entries(), 1))
-		found.rate = rate
-		found.reserve = bucket.New(time.Now(), toUnits(share), toUnits(min(burst, share*reserveWindow.Seconds())), 0)
-	}
+	now := time.Now()
+	found.limitReserve(now, rate, burst, l.entries.record(now, max(l.Entries(), 1)))
 
 	return found
 }
 
+// limitReserve sets the limits of the reserve to those of one of the given number of entries.
+func (a *account) limitReserve(now time.Time, rate, burst float64, entries int) {
+	if a.reserve != nil && a.rate == rate && a.burst == burst && a.entries == entries {
+		return
+	}
+
+	share := rate * reserveShare / float64(entries)
+	capacity := min(burst, share*reserveWindow.Seconds())
+
+	if a.reserve == nil {
+		a.reserve = bucket.New(now, toUnits(share), toUnits(capacity), 0)
+	} else {
+		a.reserve.SetLimits(now, toUnits(share), toUnits(capacity))
+	}
+
+	a.rate, a.burst, a.entries = rate, burst, entries
+}
+
 // pay takes the cost from the balance and reports whether it was sufficient; with count, the cost is added to the demand.
 func (l *Limiter) pay(found *account, cost float64, count bool) bool {
 	l.mu.Lock()
--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -144,6 +144,8 @@
 				shared := &localGranter{age: time.Hour}
 				shared.holder.Set(time.Now(), "acme", rate, burst)
 				time.Sleep(burst / rate * time.Second)
+				// The agent of the holder reports to it which entries are connected.
+				shared.holder.SetEntries(time.Now(), c.entries, c.entries-c.cut)
 
 				entries := make([]*quota.Limiter, c.entries)
 
@@ -297,3 +299,64 @@
 	holder.Set(now.Add(time.Hour), "acme", rate/2, burst/2)
 	assert.Equal(t, holder.Take(now.Add(time.Hour), "acme", 1e9, quota.Tenure{Age: time.Hour}), float64(burst/2))
 }
+
+// Guards against an entry that enlarges its reserve because it sees fewer entries when it loses connections: alone, it would
+// count as the only entry and use half of the whole rate.
+func TestReserveOfAnIsolatedEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const share = rate / 5 / 2
+
+		connected := 5
+		granter := &localGranter{age: time.Hour}
+		granter.holder.Set(time.Now(), "acme", rate, burst)
+
+		limiter := &quota.Limiter{Granter: granter, Entries: func() int { return connected }}
+		assert.Assert(t, limiter.Take(t.Context(), "other", rate, burst, 0) == nil)
+
+		connected = 1
+		granter.unreachable = true
+
+		started := time.Now()
+		taken := 0
+
+		for time.Since(started) < 10*time.Second {
+			if limiter.Take(t.Context(), "acme", rate, burst, 10) == nil {
+				taken += 10
+			}
+
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		allowed := share*time.Since(started).Seconds() + share
+		assert.Assert(t, float64(taken) <= allowed, "%d tokens, %.0f are allowed", taken, allowed)
+	})
+}
+
+// Guards against a rate that stays reduced for good after an entry was removed, and against one that is not reduced while an
+// entry may use its reserve.
+func TestHolderWithholdsTheReserve(t *testing.T) {
+	// Half of the equal share of one entry of four.
+	const withheld = rate / 4 / 2
+
+	// granted returns the tokens that the holder grants within one second after the given time without any grant.
+	granted := func(connected int, after time.Duration) float64 {
+		var holder quota.Holder
+
+		now := time.Unix(1000, 0)
+		holder.SetEntries(now, 4, 4)
+		holder.Set(now, "acme", rate, burst)
+
+		for passed := time.Second; passed <= after; passed += time.Second {
+			holder.SetEntries(now.Add(passed), connected, connected)
+		}
+
+		now = now.Add(after)
+		holder.Take(now, "acme", 1e9, quota.Tenure{Age: time.Hour})
+
+		return holder.Take(now.Add(time.Second), "acme", 1e9, quota.Tenure{Age: time.Hour})
+	}
+
+	assert.Equal(t, granted(4, 20*time.Second), float64(rate))
+	assert.Equal(t, granted(3, 20*time.Second), float64(rate-withheld))
+	assert.Equal(t, granted(3, 70*time.Second), float64(rate))
+}
