--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
@@ -66,13 +67,13 @@
 	waiters map[*schedule.Request]chan schedule.Action
 	// configVersion is the newest configuration version received from an entry.
 	configVersion int64
-	// confirmedAt is when the store last confirmed that version to an entry, on freshness.Clock. It is only valid if
-	// hasConfirmed is true.
-	confirmedAt  time.Duration
-	hasConfirmed bool
-	accounts     quota.Holder
-	// watchers holds one channel for each entry that watches the state; it is notified when the state changes.
-	watchers map[chan struct{}]bool
+	// operator and servers hold the latest confirmations that entries have published.
+	operator, servers progress.Latest
+	accounts          quota.Holder
+	// watchers holds the entries that watch the state.
+	watchers map[*watcher]bool
+	// wasReady is the readiness of the scheduler at the last notification of the watchers.
+	wasReady bool
 	// wake ends the wait of the control loop; its capacity is 1.
 	wake chan struct{}
 }
@@ -81,7 +82,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	a.wake = make(chan struct{}, 1)
 	a.waiters = map[*schedule.Request]chan schedule.Action{}
-	a.watchers = map[chan struct{}]bool{}
+	a.watchers = map[*watcher]bool{}
 
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -255,13 +256,3 @@
 	default:
 	}
 }
-
-// notifyWatchers notifies the watchers of a change of the state. The lock must be held.
-func (a *Agent) notifyWatchers() {
-	for watcher := range a.watchers {
-		select {
-		case watcher <- struct{}{}:
-		default:
-		}
-	}
-}
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -1,73 +1,221 @@
 package agent
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/publish"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-const (
-	// minStateInterval is the shortest time between two state messages to one entry, and maxStateInterval the longest.
-	minStateInterval = 80 * time.Millisecond
-	maxStateInterval = 300 * time.Millisecond
-)
+// watcher is an entry that watches the state of the agent.
+type watcher struct {
+	// changed is notified after each change of the state, and urgent after one that is sent at once. The capacity of both is 1.
+	changed, urgent chan struct{}
+	// peer is the clock of the entry.
+	peer freshness.PeerClock
+	// name is that of the entry; empty until it has sent its settings.
+	name string
+	// entries is the number of entries that the entry knows of.
+	entries int
+	// publishedAt is when the store last confirmed the operator's configuration to the entry, on freshness.Clock; it is set if
+	// published is true.
+	publishedAt time.Duration
+	published   bool
+	// reader is true if the entry is to watch the store for the others.
+	reader bool
+}
+
+// notifyWatchers notifies the watchers of a change of the state. The lock must be held.
+func (a *Agent) notifyWatchers() {
+	for w := range a.watchers {
+		notify(w.changed)
+	}
+
+	if ready := a.scheduler.Ready(); ready != a.wasReady {
+		a.wasReady = ready
+		a.notifyUrgent()
+	}
+}
+
+// notifyUrgent makes the watchers get a message at once. The lock must be held.
+func (a *Agent) notifyUrgent() {
+	for w := range a.watchers {
+		notify(w.urgent)
+	}
+}
+
+func notify(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
 
 // Watch implements relay.DRPCRelayServer.
 func (a *Agent) Watch(stream relay.DRPCRelay_WatchStream) error {
-	changed := make(chan struct{}, 1)
+	w := &watcher{changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1)}
+
+	a.addWatcher(w)
+	defer a.removeWatcher(w)
+
+	failed := make(chan error, 1)
+
+	go func() { failed <- a.receiveSettings(stream, w) }()
+
+	var publisher publish.Publisher
+
+	for {
+		if err := a.sendState(stream, w, &publisher); err != nil {
+			return err
+		}
 
+		if err := a.awaitChange(stream.Context(), w, failed); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *Agent) addWatcher(w *watcher) {
 	a.mu.Lock()
-	a.watchers[changed] = true
-	a.mu.Unlock()
+	defer a.mu.Unlock()
 
-	defer func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
+	a.watchers[w] = true
+	a.updateEntries()
+}
 
-		delete(a.watchers, changed)
-	}()
+func (a *Agent) removeWatcher(w *watcher) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 
-	failed := make(chan error, 1)
-	peer := &freshness.PeerClock{}
+	delete(a.watchers, w)
+	a.updateEntries()
+}
 
-	go func() { failed <- a.receiveSettings(stream, peer) }()
+// updateEntries passes the numbers of known and of connected entries to the holder of the client accounts, and chooses the
+// entries that watch the store. The lock must be held.
+func (a *Agent) updateEntries() {
+	known := 0
+	candidates := make([]progress.Candidate, 0, len(a.watchers))
 
-	for {
-		if err := stream.Send(a.state(peer)); err != nil {
-			return errors.Wrap(err, "send state")
+	for w := range a.watchers {
+		known = max(known, w.entries)
+
+		if w.name != "" {
+			candidates = append(candidates, progress.Candidate{Name: w.name, Age: freshness.Clock() - w.publishedAt, Published: w.published})
 		}
+	}
+
+	a.accounts.SetEntries(time.Now(), known, len(a.watchers))
+
+	readers := progress.Readers(candidates)
 
-		time.Sleep(minStateInterval)
+	for w := range a.watchers {
+		w.reader = slices.Contains(readers, w.name)
+	}
+}
+
+// awaitChange waits until the next state is due: for the shortest interval between two messages, and then for a change. It
+// returns the error with which the stream has failed.
+func (a *Agent) awaitChange(ctx context.Context, w *watcher, failed <-chan error) error {
+	a.mu.Lock()
+	shortest, longest := publish.Intervals(len(a.watchers))
+	a.mu.Unlock()
 
+	changed := (<-chan struct{})(nil)
+	timer := time.NewTimer(shortest)
+
+	defer timer.Stop()
+
+	for {
 		select {
-		case <-stream.Context().Done():
-			return errors.Wrap(stream.Context().Err(), "watch")
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "watch")
 		case err := <-failed:
 			return err
+		case <-w.urgent:
+			return nil
 		case <-changed:
-		case <-time.After(maxStateInterval - minStateInterval):
+			return nil
+		case <-timer.C:
+			if changed != nil || longest <= shortest {
+				return nil
+			}
+
+			changed = w.changed
+			timer.Reset(longest - shortest)
 		}
 	}
 }
 
+// sendState sends the state to an entry if the publisher has a message due.
+func (a *Agent) sendState(stream relay.DRPCRelay_WatchStream, w *watcher, publisher *publish.Publisher) error {
+	now := time.Now()
+
+	a.mu.Lock()
+	state := a.scheduler.State()
+	latest, _ := a.operator.Get()
+	content := publish.Content{State: state, Operator: latest.Newest}
+
+	if publisher.Wait(now, content, len(a.watchers)) > 0 {
+		a.mu.Unlock()
+		return nil
+	}
+
+	message := a.stateMessage(state, w, publisher.Record(now, content))
+	a.mu.Unlock()
+
+	return errors.Wrap(stream.Send(message), "send state")
+}
+
 // receiveSettings applies the settings from one entry until the stream fails.
-func (a *Agent) receiveSettings(stream relay.DRPCRelay_WatchStream, peer *freshness.PeerClock) error {
+func (a *Agent) receiveSettings(stream relay.DRPCRelay_WatchStream, w *watcher) error {
 	for {
 		settings, err := stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive settings")
 		}
 
-		peer.Observe(time.Duration(settings.GetClockMs())*time.Millisecond, freshness.Clock())
+		w.peer.Observe(time.Duration(settings.GetClockMs())*time.Millisecond, freshness.Clock())
+
+		a.observeEntry(w, settings)
 		a.configure(settings)
 	}
 }
 
+// observeEntry records what an entry knows of other entries and publishes about the store.
+func (a *Agent) observeEntry(w *watcher, settings *relay.Settings) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	w.entries = int(settings.GetEntries())
+
+	if name := settings.GetEntry(); name != "" {
+		w.name = name
+	}
+
+	if confirmation, ok := convert.ConfirmationFromWire(settings.GetOperator()); ok {
+		w.publishedAt, w.published = confirmation.At, true
+
+		if a.operator.Observe(confirmation) {
+			a.notifyUrgent()
+		}
+	}
+
+	if confirmation, ok := convert.ConfirmationFromWire(settings.GetServers()); ok {
+		a.servers.Observe(confirmation)
+	}
+
+	a.updateEntries()
+}
+
 // configure applies the settings from an entry unless settings of a newer configuration version were received before.
 func (a *Agent) configure(settings *relay.Settings) {
 	a.mu.Lock()
@@ -77,9 +225,12 @@
 		return
 	}
 
-	a.recordConfirmation(settings)
 	a.configVersion = settings.GetConfigVersion()
 
+	if settings.GetUnchanged() {
+		return
+	}
+
 	limits := schedule.Limits{
 		Slots:           int(settings.GetSlots()),
 		AdapterSlots:    int(settings.GetPlaces()),
@@ -101,45 +252,38 @@
 	a.wakeControl()
 }
 
-// recordConfirmation records when the store confirmed the configuration version of the settings to the entry, if that is
-// later than the known confirmation of that version. The lock must be held.
-func (a *Agent) recordConfirmation(settings *relay.Settings) {
-	if settings.GetConfigVersion() > a.configVersion {
-		a.hasConfirmed = false
-	}
+// stateMessage returns the state of the model server and the latest confirmations as a message for one entry. With unchanged, the models and adapters are omitted. The lock must be held.
+func (a *Agent) stateMessage(state schedule.State, w *watcher, unchanged bool) *relay.State {
+	_, longest := publish.Intervals(len(a.watchers))
 
-	at, ok := convert.LocalTimeFromWire(settings.GetConfirmed())
-	if !ok || a.hasConfirmed && at <= a.confirmedAt {
-		return
+	wire := &relay.State{
+		Ready:      state.Ready,
+		Leaving:    state.Draining,
+		Running:    int32(state.Running),
+		Backlog:    state.Backlog,
+		Idle:       int32(state.IdleAdapterSlots),
+		Fetching:   int32(state.Fetches),
+		Entries:    int32(len(a.watchers)),
+		Unchanged:  unchanged,
+		IntervalMs: longest.Milliseconds(),
+		ClockMs:    freshness.Clock().Milliseconds(),
+		Reader:     w.reader,
 	}
 
-	a.confirmedAt, a.hasConfirmed = at, true
-}
-
-// state returns the state of the model server and the confirmation of the configuration as a message for one entry.
-func (a *Agent) state(peer *freshness.PeerClock) *relay.State {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	state := a.scheduler.State()
-	wire := &relay.State{
-		Ready:    state.Ready,
-		Leaving:  state.Draining,
-		Running:  int32(state.Running),
-		Backlog:  state.Backlog,
-		Models:   state.Models,
-		Idle:     int32(state.IdleAdapterSlots),
-		Fetching: int32(state.Fetches),
-		Entries:  int32(len(a.watchers)),
+	if confirmation, ok := a.operator.Get(); ok {
+		wire.Operator = convert.ConfirmationToWire(confirmation, &w.peer)
+	}
 
-		ClockMs:       freshness.Clock().Milliseconds(),
-		ConfigVersion: a.configVersion,
+	if confirmation, ok := a.servers.Get(); ok {
+		wire.Servers = convert.ConfirmationToWire(confirmation, &w.peer)
 	}
 
-	if peerTime, ok := peer.ToPeer(a.confirmedAt); ok && a.hasConfirmed {
-		wire.Confirmed = convert.PeerTimeToWire(peerTime)
+	if unchanged {
+		return wire
 	}
 
+	wire.Models = state.Models
+
 	for _, held := range state.Adapters {
 		wire.Adapters = append(wire.Adapters, &relay.Adapter{
 			Model: held.Adapter.Model, Name: held.Adapter.Name, Version: held.Version, Loading: held.Loading,
--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -132,6 +133,23 @@
 	return freshness.PeerTime{Reading: milliseconds(moment.GetClockMs()), Offset: milliseconds(moment.GetAfterMs())}.Local(), true
 }
 
+// ConfirmationToWire returns the wire message for a confirmation, or nil if the clock of its receiver is not known yet.
+func ConfirmationToWire(c progress.Confirmation, receiver *freshness.PeerClock) *relay.Confirmation {
+	at, ok := receiver.ToPeer(c.At)
+	if !ok {
+		return nil
+	}
+
+	return &relay.Confirmation{Era: c.Newest.Era, Version: c.Newest.Version, At: PeerTimeToWire(at)}
+}
+
+// ConfirmationFromWire returns the confirmation in a wire message; false if the message is nil.
+func ConfirmationFromWire(wire *relay.Confirmation) (progress.Confirmation, bool) {
+	at, ok := LocalTimeFromWire(wire.GetAt())
+
+	return progress.Confirmation{Newest: progress.Mark{Era: wire.GetEra(), Version: wire.GetVersion()}, At: at}, ok
+}
+
 func toHeaders(headers []message.Header) []*relay.Header {
 	list := make([]*relay.Header, len(headers))
 	for i, header := range headers {
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -27,7 +27,7 @@
 	// staleMargin is subtracted from the maximum revocation delay to allow for requests in flight.
 	staleMargin = 500 * time.Millisecond
 	// readyShare is the fraction of the maximum revocation delay after which an entry without a confirmation of its
-	// configuration reports that it is not ready.
+	// configuration, or whose calls of the store fail, reports that it is not ready.
 	readyShare = 0.6
 )
 
@@ -94,6 +94,8 @@
 
 		if e.config.CompareAndSwap(current, next) {
 			e.Wake()
+			e.Links.NotifySettings()
+
 			return true
 		}
 	}
@@ -104,6 +106,15 @@
 	return e.config.Load()
 }
 
+// ConfigVersion returns the version of the configuration in force; -1 before the first one.
+func (e *Entry) ConfigVersion() int64 {
+	if config := e.config.Load(); config != nil {
+		return config.Version
+	}
+
+	return -1
+}
+
 // RequireVersion sets the minimum version of an adapter on which requests may run, unless a higher one is set.
 func (e *Entry) RequireVersion(model, adapter string, version int64) {
 	e.minVersions.require(link.Adapter{Model: model, Name: adapter}, version)
@@ -120,18 +131,10 @@
 	return e.draining.Load()
 }
 
-// ObserveConfirmation records when the store confirmed a version of the configuration to another entry, as an agent reports
-// it; at is a reading of freshness.Clock. The confirmation is ignored if this entry has an older version.
-func (e *Entry) ObserveConfirmation(version int64, at time.Duration) {
-	if config := e.config.Load(); config != nil && config.Version >= version {
-		e.Freshness.ConfirmRelayed(at)
-	}
-}
-
-// Ready reports whether clients should be routed to this entry, and the reason if not. An entry that gets no responses from
-// the store reports false early, while it still serves the clients that it has.
+// Ready reports whether clients should be routed to this entry, and the reason if not. An entry without a recent confirmation of
+// its configuration reports false early, while it still serves the clients that it has.
 func (e *Entry) Ready() (bool, string) {
-	age, known := e.Freshness.Age()
+	age, known := e.Freshness.SharedAge()
 
 	switch {
 	case e.draining.Load():
@@ -140,13 +143,21 @@
 		return false, "no configuration"
 	case !e.Fleet.HasSynced():
 		return false, "no list of servers"
-	case age > time.Duration(float64(e.Bounds.MaxRevocationDelay)*readyShare):
+	case age > e.unreadyAge():
 		return false, "configuration not confirmed"
+	case e.Freshness.FailingFor() > e.unreadyAge():
+		return false, "store not reached"
 	}
 
 	return true, ""
 }
 
+// unreadyAge is the age of the configuration, and the time without a response of the store, above which clients should be routed
+// to other entries.
+func (e *Entry) unreadyAge() time.Duration {
+	return time.Duration(float64(e.Bounds.MaxRevocationDelay) * readyShare)
+}
+
 // Serve serves one request and returns when its response is complete or has failed.
 func (e *Entry) Serve(ctx context.Context, request *message.Request, sink Sink) {
 	j, err := e.admit(ctx, request)
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -60,13 +60,7 @@
 func (e *Entry) RegisterGauges() {
 	gauge := func(name string, value func() int64) { metric.Gauge(e.Metrics, name, value) }
 
-	gauge("config.version", func() int64 {
-		if config := e.config.Load(); config != nil {
-			return config.Version
-		}
-
-		return -1
-	})
+	gauge("config.version", e.ConfigVersion)
 	gauge("config.age", func() int64 {
 		age, _ := e.Freshness.SharedAge()
 		return age.Milliseconds()
--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -34,30 +34,42 @@
 	synced bool
 }
 
-// Put adds or updates servers.
-func (f *Fleet) Put(servers ...Server) {
+// Put adds or updates servers, and reports whether that changed the list.
+func (f *Fleet) Put(servers ...Server) bool {
 	f.mu.Lock()
 
+	changed := false
+
 	if f.servers == nil {
 		f.servers = map[string]Server{}
 		f.removeAt = map[string]time.Time{}
 	}
 
 	for _, server := range servers {
+		_, removing := f.removeAt[server.ID]
+		changed = changed || removing || f.servers[server.ID] != server
+
 		f.servers[server.ID] = server
 		delete(f.removeAt, server.ID)
 	}
 
 	f.synced = true
 	f.mu.Unlock()
-	f.notify()
+
+	if changed {
+		f.notify()
+	}
+
+	return changed
 }
 
-// Remove removes a server that vanished from the list, at the given time unless it is listed again before.
-func (f *Fleet) Remove(now time.Time, id string, at time.Time) {
+// Remove removes a server that vanished from the list, at the given time unless it is listed again before. It reports whether
+// the server was listed.
+func (f *Fleet) Remove(now time.Time, id string, at time.Time) bool {
 	f.mu.Lock()
 
-	if _, ok := f.servers[id]; ok {
+	_, listed := f.servers[id]
+	if listed {
 		if at.After(now) {
 			f.removeAt[id] = at
 		} else {
@@ -67,16 +79,25 @@
 	}
 
 	f.mu.Unlock()
-	f.notify()
+
+	if listed {
+		f.notify()
+	}
+
+	return listed
 }
 
-// Retain removes all servers except the listed ones.
-func (f *Fleet) Retain(now time.Time, listed map[string]bool, at time.Time) {
+// Retain removes all servers except the listed ones, and reports whether there were others.
+func (f *Fleet) Retain(now time.Time, listed map[string]bool, at time.Time) bool {
+	changed := false
+
 	for _, server := range f.All() {
-		if !listed[server.ID] {
-			f.Remove(now, server.ID, at)
+		if !listed[server.ID] && f.Remove(now, server.ID, at) {
+			changed = true
 		}
 	}
+
+	return changed
 }
 
 // Evacuate sets the failure domains whose servers get no requests.
--- a/internal/forward/freshness/freshness.go
+++ b/internal/forward/freshness/freshness.go
@@ -37,6 +37,10 @@
 	// relayed is the local time of the newest confirmation that another process received; it is set if hasRelayed is true.
 	relayed    time.Duration
 	hasRelayed bool
+	// failingSince is the local time of the first failed call since the last confirmation by the store; it is set if failing is
+	// true.
+	failingSince time.Duration
+	failing      bool
 }
 
 // Confirm records a confirmation: the store's clock in an answer with the newest configuration, and the local time at which
@@ -52,6 +56,8 @@
 		t.hasOffset = true
 	}
 
+	t.failing = false
+
 	// An answer is never older than its request, which also bounds the time after the store's clock was reset.
 	at := min(max(store+t.offset, requested), now)
 
@@ -69,6 +75,32 @@
 	t.hasOffset = false
 }
 
+// Fail records a failed call of the store.
+func (t *Tracker) Fail() {
+	now := t.now()
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if !t.failing {
+		t.failingSince, t.failing = now, true
+	}
+}
+
+// FailingFor returns the time since the first failed call after the last confirmation by the store; 0 if there was none.
+func (t *Tracker) FailingFor() time.Duration {
+	now := t.now()
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if !t.failing {
+		return 0
+	}
+
+	return now - t.failingSince
+}
+
 // ConfirmRelayed records the local time at which the store confirmed the configuration in force to another process.
 func (t *Tracker) ConfirmRelayed(at time.Duration) {
 	at = min(at, t.now())
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -15,20 +15,20 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
 const (
-	// stateTimeout is how long an agent may send nothing before it counts as disconnected; it sends its state at least every
-	// 300 ms.
+	// stateTimeout is how long the first state of an agent may take, and stateMargin how much later than announced the next
+	// one may be, before the agent counts as disconnected.
 	stateTimeout = time.Second
+	stateMargin  = 700 * time.Millisecond
 	// redialDelay is the wait before an agent is dialed again.
 	redialDelay = 250 * time.Millisecond
 	// removalRetention is how long the time of the removal of a server is kept.
 	removalRetention = 10 * time.Minute
-	// settingsPeriod is the longest time between two settings messages to an agent.
-	settingsPeriod = 2 * time.Second
 )
 
 // Links holds one link for each model server: a stream to its agent that is opened again whenever it ends. Its exported
@@ -39,11 +39,11 @@
 	Port int
 	// Settings returns the settings for the agent of a server; false if they are not known yet.
 	Settings func(server fleet.Server) (*relay.Settings, bool)
-	// Confirmed returns when the store last confirmed the configuration to this entry, on freshness.Clock; false if it has not.
-	Confirmed func() (time.Duration, bool)
-	// OnConfirmation receives the newest configuration version that an agent knows and when the store confirmed it to an entry.
-	OnConfirmation func(version int64, at time.Duration)
-	Log            logrus.FieldLogger
+	// SettingsVersion returns the version of the configuration from which Settings are made; -1 if there is none yet.
+	SettingsVersion func() int64
+	// Operator and Servers exchange the progress of both topics of the store with other entries.
+	Operator, Servers *progress.Follower
+	Log               logrus.FieldLogger
 
 	mu sync.Mutex
 	// links is keyed by server id.
@@ -52,6 +52,10 @@
 	removedAt map[string]time.Time
 	// firstSync is when the list was first read.
 	firstSync time.Time
+	// notified is closed by NotifySettings; nil if no link waits for it.
+	notified chan struct{}
+	// reader is true if this entry watches the store for others.
+	reader bool
 }
 
 // link is the connection to the agent of one model server.
@@ -155,6 +159,40 @@
 	return most
 }
 
+// IsReader reports whether this entry watches the store for others: if an agent says so, or if no agent is connected.
+func (l *Links) IsReader() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	connected := false
+
+	for _, found := range l.links {
+		if found.connected && found.state.Reader {
+			return true
+		}
+
+		connected = connected || found.connected
+	}
+
+	return !connected
+}
+
+// updateReader wakes the followers if this entry has become a reader or is no longer one.
+func (l *Links) updateReader() {
+	reader := l.IsReader()
+
+	l.mu.Lock()
+	changed := reader != l.reader
+	l.reader = reader
+	l.mu.Unlock()
+
+	if changed {
+		l.Log.WithField("reader", reader).Info("role in watching the store changed")
+		l.Operator.Wake()
+		l.Servers.Wake()
+	}
+}
+
 // ConnectedCount returns the number of connected agents.
 func (l *Links) ConnectedCount() int {
 	l.mu.Lock()
@@ -176,12 +214,7 @@
 	for ctx.Err() == nil {
 		err := l.watchOnce(ctx, agent)
 
-		l.mu.Lock()
-		wasConnected := agent.connected
-		agent.connected = false
-		l.mu.Unlock()
-
-		if wasConnected && ctx.Err() == nil {
+		if l.disconnect(agent) && ctx.Err() == nil {
 			l.Log.WithField("server", agent.id).WithError(err).Warn("agent lost")
 		}
 
@@ -192,6 +225,18 @@
 	}
 }
 
+// disconnect marks the agent of a link as disconnected and reports whether it was connected.
+func (l *Links) disconnect(agent *link) bool {
+	l.mu.Lock()
+	was := agent.connected
+	agent.connected = false
+	l.mu.Unlock()
+
+	l.updateReader()
+
+	return was
+}
+
 // watchOnce opens a stream to the agent, sends it settings, and receives its state until the stream ends.
 func (l *Links) watchOnce(parent context.Context, agent *link) error {
 	ctx, cancel := context.WithCancelCause(parent)
@@ -209,72 +254,30 @@
 	defer func() { _ = stream.Close() }()
 
 	peer := &freshness.PeerClock{}
+	clockKnown := make(chan struct{})
 
-	go l.sendSettings(ctx, agent, peer, stream)
+	go l.sendSettings(ctx, agent, &settingsStream{DRPCRelay_WatchClient: stream, peer: peer, clockKnown: clockKnown})
 
-	for {
+	for first := true; ; first = false {
 		state, err := stream.Recv()
 		if err != nil {
 			return errors.Wrap(errors.CombineErrors(context.Cause(ctx), err), "receive state")
 		}
 
-		timer.Reset(stateTimeout)
+		timer.Reset(max(time.Duration(state.GetIntervalMs())*time.Millisecond+stateMargin, stateTimeout))
 		peer.Observe(time.Duration(state.GetClockMs())*time.Millisecond, freshness.Clock())
 		l.updateState(agent, state)
 
-		if at, ok := convert.LocalTimeFromWire(state.GetConfirmed()); ok {
-			l.OnConfirmation(state.GetConfigVersion(), at)
+		if first {
+			close(clockKnown)
 		}
-	}
-}
-
-// sendSettings sends the settings to the agent: once at the start, after each change, and at least every settingsPeriod.
-func (l *Links) sendSettings(ctx context.Context, agent *link, peer *freshness.PeerClock, stream relay.DRPCRelay_WatchClient) {
-	var (
-		sentVersion int64 = -1
-		sentAt      time.Time
-	)
-
-	for {
-		l.mu.Lock()
-		server := agent.server
-		l.mu.Unlock()
-
-		// The confirmation is read before the settings: if the configuration changes in between, the newer version is at least
-		// as new as the one that the store had at the time of the confirmation.
-		confirmed := l.confirmedMoment(peer)
-
-		if settings, ok := l.Settings(server); ok && (settings.GetConfigVersion() != sentVersion || time.Since(sentAt) > settingsPeriod) {
-			settings.ClockMs = freshness.Clock().Milliseconds()
-			settings.Confirmed = confirmed
 
-			if err := stream.Send(settings); err != nil {
-				return
-			}
-
-			sentVersion, sentAt = settings.GetConfigVersion(), time.Now()
+		if confirmation, ok := convert.ConfirmationFromWire(state.GetOperator()); ok {
+			l.Operator.Observe(confirmation)
 		}
 
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(settingsPeriod / 10):
+		if confirmation, ok := convert.ConfirmationFromWire(state.GetServers()); ok {
+			l.Servers.Observe(confirmation)
 		}
 	}
 }
-
-// confirmedMoment returns the time of the latest confirmation of this entry relative to the clock of the agent; nil if there
-// is none.
-func (l *Links) confirmedMoment(peer *freshness.PeerClock) *relay.Moment {
-	at, ok := l.Confirmed()
-	if !ok {
-		return nil
-	}
-
-	peerTime, ok := peer.ToPeer(at)
-	if !ok {
-		return nil
-	}
-
-	return convert.PeerTimeToWire(peerTime)
-}
--- a/internal/forward/link/state.go
+++ b/internal/forward/link/state.go
@@ -10,7 +10,7 @@
 	Name  string
 }
 
-// State is the last state that an agent reported.
+// State is the last state that an agent reported. Its maps are not changed after they were set.
 type State struct {
 	// Ready is true if the model server accepts requests.
 	Ready   bool
@@ -27,6 +27,8 @@
 	IdleAdapterSlots int
 	// Entries is the number of entries that are connected to the agent.
 	Entries int
+	// Reader is true if this entry is to watch the store for others.
+	Reader bool
 	// Sent counts the requests that this entry has sent since the report, and SentTokens their prompt tokens.
 	Sent       int
 	SentTokens int64
@@ -47,35 +49,56 @@
 
 // updateState replaces the state of a link, and marks it as connected.
 func (l *Links) updateState(agent *link, from *relay.State) {
+	if l.replaceState(agent, from) {
+		l.updateReader()
+	}
+}
+
+// replaceState replaces the state of a link, and reports whether the role of this entry may have changed.
+func (l *Links) replaceState(agent *link, from *relay.State) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
 	state := State{
 		Ready:            from.GetReady() && !from.GetLeaving(),
 		Running:          int(from.GetRunning()),
 		Backlog:          from.GetBacklog(),
-		Models:           from.GetModels(),
-		Loaded:           make(map[Adapter]int64, len(from.GetAdapters())),
-		Loading:          map[Adapter]bool{},
 		Fetches:          int(from.GetFetching()),
 		IdleAdapterSlots: int(from.GetIdle()),
 		Entries:          int(from.GetEntries()),
+		Reader:           from.GetReader(),
 	}
 
-	for _, held := range from.GetAdapters() {
-		name := Adapter{Model: held.GetModel(), Name: held.GetName()}
-
-		if held.GetLoading() {
-			state.Loading[name] = true
-		} else {
-			state.Loaded[name] = held.GetVersion()
-		}
+	if from.GetUnchanged() {
+		state.Models, state.Loaded, state.Loading = agent.state.Models, agent.state.Loaded, agent.state.Loading
+	} else {
+		state.setHoldings(from)
 	}
 
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
 	if !agent.connected || agent.state.Ready != state.Ready {
 		l.Log.WithField("server", agent.id).WithField("ready", state.Ready).Info("agent in touch")
 	}
 
+	roleChanged := !agent.connected || agent.state.Reader != state.Reader
 	agent.connected = true
 	agent.state = state
+
+	return roleChanged
+}
+
+// setHoldings sets the models and adapters to those of a message.
+func (s *State) setHoldings(from *relay.State) {
+	s.Models = from.GetModels()
+	s.Loaded = make(map[Adapter]int64, len(from.GetAdapters()))
+	s.Loading = map[Adapter]bool{}
+
+	for _, held := range from.GetAdapters() {
+		name := Adapter{Model: held.GetModel(), Name: held.GetName()}
+
+		if held.GetLoading() {
+			s.Loading[name] = true
+		} else {
+			s.Loaded[name] = held.GetVersion()
+		}
+	}
 }
--- /dev/null
+++ b/internal/forward/progress/follower.go
@@ -0,0 +1,190 @@
+package progress
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+)
+
+const (
+	// jitterShare is the part of MaxAge by which the reads of entries that miss the same confirmations are spread.
+	jitterShare = 0.2
+	// minReadInterval is the shortest time between two reads that published changes cause.
+	minReadInterval = 100 * time.Millisecond
+)
+
+// Follower tracks how far an entry has read one topic, and decides when it has to read it. Its exported fields are set before
+// use. It is safe for concurrent use.
+type Follower struct {
+	// MaxAge is the age of the last confirmation after which an entry reads the topic itself.
+	MaxAge time.Duration
+	// OwnMaxAge is the age of the last confirmation by the store to this entry itself after which it reads the topic, to notice
+	// that it alone cannot reach the store; 0 for none.
+	OwnMaxAge time.Duration
+	// Freshness tracks the age of the confirmations.
+	Freshness *freshness.Tracker
+	// IsReader reports whether this entry watches the topic for others.
+	IsReader func() bool
+	// OnPublish is called after a read that this entry publishes.
+	OnPublish func()
+
+	mu sync.Mutex
+	// read is the newest version of the store at the last read, and newest that at the last read with a change; both are set if
+	// known is true.
+	read, newest Mark
+	known        bool
+	// readAt is when the topic was read last.
+	readAt time.Time
+	// published is the newest change that another entry has published since the last read.
+	published Mark
+	// publishes is true if this entry publishes its reads: as a reader, or since the readers have published nothing for too long.
+	publishes bool
+	// wake ends a wait of Await; nil if there is none.
+	wake chan struct{}
+}
+
+// Read is the result of reading a topic.
+type Read struct {
+	// Newest is the newest version of the store.
+	Newest Mark
+	// Changed is true if the topic has changed since the previous read.
+	Changed bool
+	// Requested is when the read was requested, as a reading of freshness.Clock.
+	Requested time.Duration
+	// StoreClock is the reading of the store's monotonic clock in the response.
+	StoreClock time.Duration
+}
+
+// Record records a read of the topic.
+func (f *Follower) Record(read Read) {
+	f.mu.Lock()
+
+	if read.Newest.Era != f.read.Era {
+		f.Freshness.Reset()
+	}
+
+	if read.Changed || !f.known {
+		f.newest = read.Newest
+	}
+
+	f.read, f.known, f.readAt = read.Newest, true, time.Now()
+	f.published = Mark{}
+	publishes := f.publishes
+	f.mu.Unlock()
+
+	f.Freshness.Confirm(read.Requested, read.StoreClock)
+
+	if publishes {
+		f.OnPublish()
+	}
+}
+
+// Observe handles a confirmation that another entry has published. It counts for this entry if this entry has read the newest
+// change; otherwise the topic is read.
+func (f *Follower) Observe(c Confirmation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if !f.known {
+		return
+	}
+
+	if !f.read.Before(c.Newest) {
+		f.Freshness.ConfirmRelayed(c.At)
+		return
+	}
+
+	if f.published.Before(c.Newest) {
+		f.published = c.Newest
+		f.notify()
+	}
+}
+
+// Wake ends a wait of Await; it is called when IsReader has changed.
+func (f *Follower) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.notify()
+}
+
+// notify ends a wait of Await. The lock must be held.
+func (f *Follower) notify() {
+	if f.wake != nil {
+		close(f.wake)
+		f.wake = nil
+	}
+}
+
+// Publication returns the confirmation for other entries; false if this entry publishes none.
+func (f *Follower) Publication() (Confirmation, bool) {
+	at, confirmed := f.Freshness.Confirmed()
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return Confirmation{Newest: f.newest, At: at}, confirmed && f.known && f.publishes
+}
+
+// Await returns when the topic is to be read, or when the context ends.
+func (f *Follower) Await(ctx context.Context) {
+	spread := 1 - rand.Float64()*jitterShare
+
+	for ctx.Err() == nil {
+		wait, wake := f.check(spread)
+		if wait <= 0 {
+			return
+		}
+
+		timer := time.NewTimer(wait)
+
+		select {
+		case <-ctx.Done():
+		case <-wake:
+		case <-timer.C:
+		}
+
+		timer.Stop()
+	}
+}
+
+// check returns how long to wait, unless wake is closed before; 0 or less if the topic is to be read now. The highest ages are
+// multiplied by spread.
+func (f *Follower) check(spread float64) (time.Duration, <-chan struct{}) {
+	reader := f.IsReader()
+	left, confirmed := remaining(f.Freshness.SharedAge, f.MaxAge, spread)
+	ownLeft, _ := remaining(f.Freshness.Age, f.OwnMaxAge, spread)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if reader || !confirmed || left <= 0 {
+		f.publishes = true
+		return 0, nil
+	}
+
+	if f.read.Before(f.published) {
+		f.publishes = false
+		return minReadInterval - time.Since(f.readAt), nil
+	}
+
+	if f.wake == nil {
+		f.wake = make(chan struct{})
+	}
+
+	if f.OwnMaxAge > 0 {
+		left = min(left, ownLeft)
+	}
+
+	return left, f.wake
+}
+
+// remaining returns the time until an age reaches its maximum, multiplied by spread; false if the age is not known.
+func remaining(age func() (time.Duration, bool), maximum time.Duration, spread float64) (time.Duration, bool) {
+	now, known := age()
+
+	return time.Duration(spread*float64(maximum)) - now, known
+}
--- /dev/null
+++ b/internal/forward/publish/publish.go
@@ -0,0 +1,81 @@
+// Package publish decides when an agent sends its state to an entry, and which parts of it. Every agent sends its state to every
+// entry, so that the number of messages is the product of both; the time between two messages therefore grows with the number
+// of entries, and the messages of one agent stay bounded.
+package publish
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
+)
+
+const (
+	// minInterval is the shortest time between two messages to one entry, and maxInterval the longest while there are few entries.
+	minInterval = 80 * time.Millisecond
+	maxInterval = 300 * time.Millisecond
+	// messagesPerSecond is the number of messages that an agent sends to all entries together. Only messages about a change of
+	// readiness are sent beyond it.
+	messagesPerSecond = 100
+)
+
+// Intervals returns the shortest and the longest time between two messages to one of the given number of entries.
+func Intervals(entries int) (shortest, longest time.Duration) {
+	shortest = max(minInterval, time.Duration(entries)*time.Second/messagesPerSecond)
+
+	return shortest, max(maxInterval, shortest)
+}
+
+// Content is what a message is about.
+type Content struct {
+	State schedule.State
+	// Operator is the newest change of the operator's configuration that an entry has published.
+	Operator progress.Mark
+}
+
+// Publisher decides about the messages to one entry.
+type Publisher struct {
+	// last is the content of the last message, which was sent at sentAt; both are set if sent is true.
+	last   Content
+	sentAt time.Time
+	sent   bool
+}
+
+// Wait returns how long to wait before the content is sent, 0 or less if it is to be sent now. A change of readiness is sent at
+// once, since an entry sends requests to a server until it knows of it, and so is a change of the operator's configuration.
+func (p *Publisher) Wait(now time.Time, content Content, entries int) time.Duration {
+	if !p.sent || p.isUrgent(&content) {
+		return 0
+	}
+
+	shortest, longest := Intervals(entries)
+	age := now.Sub(p.sentAt)
+
+	if sameLoad(&content.State, &p.last.State) && sameHoldings(&content.State, &p.last.State) {
+		return longest - age
+	}
+
+	return shortest - age
+}
+
+// Record records that the content is sent, and reports whether its models and adapters are those of the previous message.
+func (p *Publisher) Record(now time.Time, content Content) bool {
+	unchanged := p.sent && sameHoldings(&content.State, &p.last.State)
+	p.last, p.sentAt, p.sent = content, now, true
+
+	return unchanged
+}
+
+func (p *Publisher) isUrgent(content *Content) bool {
+	return content.State.Ready != p.last.State.Ready || content.State.Draining != p.last.State.Draining || content.Operator != p.last.Operator
+}
+
+func sameHoldings(one, other *schedule.State) bool {
+	return slices.Equal(one.Models, other.Models) && slices.Equal(one.Adapters, other.Adapters)
+}
+
+func sameLoad(one, other *schedule.State) bool {
+	return one.Running == other.Running && one.Backlog == other.Backlog &&
+		one.Fetches == other.Fetches && one.IdleAdapterSlots == other.IdleAdapterSlots
+}
--- /dev/null
+++ b/internal/forward/publish/publish_test.go
@@ -0,0 +1,113 @@
+package publish_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/publish"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
+)
+
+// messages returns the number of messages to one of the given number of entries within a second in which the load changes every
+// few milliseconds.
+func messages(entries int) int {
+	var (
+		publisher publish.Publisher
+		sent      int
+	)
+
+	start := time.Unix(1000, 0)
+
+	for passed := time.Duration(0); passed < 10*time.Second; passed += 5 * time.Millisecond {
+		now := start.Add(passed)
+		state := publish.Content{State: schedule.State{Ready: true, Running: int(passed / (5 * time.Millisecond))}}
+
+		if publisher.Wait(now, state, entries) <= 0 {
+			publisher.Record(now, state)
+
+			sent++
+		}
+	}
+
+	return sent
+}
+
+// Guards against messages of one agent that grow with the number of entries: with 68 entries and 120 agents, a message for
+// each change cost more processor time and bytes than the requests.
+func TestMessagesAreBounded(t *testing.T) {
+	for name, entries := range map[string]int{"few entries": 5, "tens": 29, "many": 68, "hundreds": 300} {
+		t.Run(name, func(t *testing.T) {
+			total := messages(entries) * entries
+			// Each entry gets a first message at once.
+			assert.Assert(t, total <= 10*100+entries, "%d messages in 10 s", total)
+		})
+	}
+}
+
+// Guards against entries that send requests to a server which has become unavailable, or that apply a configuration late, because
+// the message about it waited.
+func TestUrgentChangesAreSentAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before := publish.Content{State: schedule.State{Ready: true}, Operator: progress.Mark{Version: 1}}
+
+	cases := map[string]publish.Content{
+		"not ready":     {Operator: before.Operator},
+		"draining":      {State: schedule.State{Ready: true, Draining: true}, Operator: before.Operator},
+		"configuration": {State: before.State, Operator: progress.Mark{Version: 2}},
+	}
+
+	for name, changed := range cases {
+		t.Run(name, func(t *testing.T) {
+			var publisher publish.Publisher
+
+			assert.Assert(t, publisher.Wait(now, before, 300) <= 0)
+			publisher.Record(now, before)
+			assert.Assert(t, publisher.Wait(now, before, 300) > 0)
+			assert.Assert(t, publisher.Wait(now, changed, 300) <= 0)
+		})
+	}
+}
+
+// Guards against messages without a change, and against an entry that counts a silent agent as lost although nothing changed.
+func TestStateWithoutChangeIsSentRarely(t *testing.T) {
+	for name, entries := range map[string]int{"few entries": 5, "many": 68} {
+		t.Run(name, func(t *testing.T) {
+			var publisher publish.Publisher
+
+			now := time.Unix(1000, 0)
+			content := publish.Content{State: schedule.State{Ready: true, Running: 3}}
+			shortest, longest := publish.Intervals(entries)
+
+			publisher.Record(now, content)
+			assert.Equal(t, publisher.Wait(now, content, entries), longest)
+			assert.Equal(t, publisher.Wait(now.Add(longest), content, entries), time.Duration(0))
+
+			content.State.Running = 4
+			assert.Equal(t, publisher.Wait(now, content, entries), shortest)
+		})
+	}
+}
+
+// Guards against adapter lists that are sent again although they have not changed, and against changes that are left out.
+func TestHoldingsAreSentAfterChanges(t *testing.T) {
+	var publisher publish.Publisher
+
+	now := time.Unix(1000, 0)
+	first := schedule.HeldAdapter{Adapter: schedule.Adapter{Model: "m", Name: "a1"}, Version: 1}
+	second := schedule.HeldAdapter{Adapter: schedule.Adapter{Model: "m", Name: "a1"}, Version: 2}
+	content := publish.Content{State: schedule.State{Ready: true, Models: []string{"m"}, Adapters: []schedule.HeldAdapter{first}}}
+
+	assert.Assert(t, !publisher.Record(now, content), "first message")
+
+	content.State.Running = 2
+	assert.Assert(t, publisher.Record(now, content), "only the load changed")
+
+	content.State.Adapters = []schedule.HeldAdapter{second}
+	assert.Assert(t, !publisher.Record(now, content), "new version")
+
+	content.State.Models = nil
+	assert.Assert(t, !publisher.Record(now, content), "model unloaded")
+}
--- a/internal/forward/schedule/state.go
+++ b/internal/forward/schedule/state.go
@@ -1,5 +1,10 @@
 package schedule
 
+import (
+	"cmp"
+	"slices"
+)
+
 // State is the state of the server that the agent sends to entries.
 type State struct {
 	// Ready is true if the server answers and takes requests.
@@ -8,8 +13,9 @@
 	Running  int
 	Waiting  int
 	// Backlog is the number of prompt tokens that wait for prefill or are in it.
-	Backlog  int64
-	Models   []string
+	Backlog int64
+	Models  []string
+	// Adapters is sorted by model and name.
 	Adapters []HeldAdapter
 	// Fetches is the number of adapters that are being fetched from the weight store or wait for it.
 	Fetches int
@@ -25,10 +31,15 @@
 	Loading bool
 }
 
+// Ready reports whether the server answers and takes requests.
+func (s *Scheduler) Ready() bool {
+	return s.reachable && s.Configured() && !s.report.Draining && !s.closed
+}
+
 // State returns the current state.
 func (s *Scheduler) State() State {
 	state := State{
-		Ready:            s.reachable && s.Configured() && !s.report.Draining && !s.closed,
+		Ready:            s.Ready(),
 		Draining:         s.report.Draining || s.closed,
 		Running:          s.running,
 		Waiting:          len(s.queue),
@@ -65,5 +76,9 @@
 		}
 	}
 
+	slices.SortFunc(state.Adapters, func(a, b HeldAdapter) int {
+		return cmp.Or(cmp.Compare(a.Adapter.Model, b.Adapter.Model), cmp.Compare(a.Adapter.Name, b.Adapter.Name))
+	})
+
 	return state
 }
--- a/internal/forward/watch/source.go
+++ b/internal/forward/watch/source.go
@@ -46,6 +46,8 @@
 type Batch struct {
 	// Version is the store's newest version.
 	Version int64
+	// Era counts how often the store was restored from a copy, which may lack its latest versions; these are given out again.
+	Era int64
 	// Clock is the reading of the store's monotonic clock when it sent the response.
 	Clock time.Duration
 	Items []Item
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 )
 
 const (
@@ -26,6 +27,9 @@
 	removalDelay = 2 * time.Second
 )
 
+// errOldEra is the error of a response that the store gave before it was restored from a copy.
+var errOldEra = errors.New("the response is from before the store was restored")
+
 // Target receives the configuration and the adapter versions that the watcher reads.
 type Target interface {
 	// Apply applies a configuration and reports whether it is newer than the one in force.
@@ -45,14 +49,15 @@
 	BatchDelay time.Duration
 	Target     Target
 	Fleet      *fleet.Fleet
-	// Freshness records each confirmation; nil for topics whose age is not used.
-	Freshness *freshness.Tracker
-	Log       logrus.FieldLogger
+	// Progress decides when the topic is read.
+	Progress *progress.Follower
+	Log      logrus.FieldLogger
 	// OnCall is called before each call of the store; it may be nil.
 	OnCall func()
 
-	version   int64
-	evacuated map[string]bool
+	// version is the store's newest version at the last read, and era that of the store.
+	version, era int64
+	evacuated    map[string]bool
 	// unavailable is true if the last call failed, and availableSince is when a call succeeded after the last failure.
 	unavailable    bool
 	availableSince time.Time
@@ -64,28 +69,42 @@
 	full := true
 
 	for ctx.Err() == nil {
+		if !full && !w.unavailable {
+			w.Progress.Await(ctx)
+		}
+
 		requested := freshness.Clock()
 		batch, err := w.call(ctx, full)
 
 		switch {
+		case err == nil && batch.Era < w.era:
+			w.fail(ctx, errOldEra)
+		case errors.Is(err, ErrHistoryLost), err == nil && !full && batch.Era > w.era:
+			w.Log.WithFields(logrus.Fields{"topic": w.Topic.String(), "version": w.version, "era": w.era, "newest": batch.Era}).
+				Info("store history lost, reading everything")
+
+			full = true
 		case err == nil:
 			w.succeed()
-			w.apply(batch, full)
-			w.confirm(requested, batch)
+			w.record(requested, batch, w.apply(batch, full))
 
 			full = false
 
 			w.sleep(ctx, w.delay(batch))
-		case errors.Is(err, ErrHistoryLost):
-			w.Log.WithField("topic", w.Topic.String()).WithField("version", w.version).Info("store history lost, reading everything")
-
-			full = true
 		default:
 			w.fail(ctx, err)
 		}
 	}
 }
 
+// record records that the topic was read.
+func (w *Watcher) record(requested time.Duration, batch Batch, changed bool) {
+	w.version, w.era = batch.Version, batch.Era
+	w.Progress.Record(progress.Read{
+		Newest: progress.Mark{Era: batch.Era, Version: batch.Version}, Changed: changed, Requested: requested, StoreClock: batch.Clock,
+	})
+}
+
 func (w *Watcher) call(ctx context.Context, full bool) (Batch, error) {
 	if w.OnCall != nil {
 		w.OnCall()
@@ -115,17 +134,10 @@
 	return batch, err
 }
 
-// confirm records that the configuration in force was the newest when the store responded to the call.
-func (w *Watcher) confirm(requested time.Duration, batch Batch) {
-	if w.Freshness != nil {
-		w.Freshness.Confirm(requested, batch.Clock)
-	}
-}
-
-// pollWait returns how long the store may hold the call. After a failed call it is 0, so that the recovery of the store is
-// noticed soon.
+// pollWait returns how long the store may hold the call. It is 0 after a failed call, so that the recovery of the store is
+// noticed soon, and if the entry does not watch the topic for others, since it calls only for what it has missed.
 func (w *Watcher) pollWait() time.Duration {
-	if w.unavailable {
+	if w.unavailable || !w.Progress.IsReader() {
 		return 0
 	}
 
@@ -153,6 +165,7 @@
 	}
 
 	w.unavailable = true
+	w.Progress.Freshness.Fail()
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
 	w.sleep(ctx, w.backoff)
 }
@@ -174,7 +187,9 @@
 	}
 }
 
-func (w *Watcher) apply(batch Batch, full bool) {
+// apply applies what was read and reports whether anything has changed.
+func (w *Watcher) apply(batch Batch, full bool) bool {
+	changed := w.Topic == Operator && len(batch.Items) > 0
 	now := time.Now()
 	removeAt := w.availableSince.Add(removalDelay)
 	listed := map[string]bool{}
@@ -188,9 +203,9 @@
 		switch i := item.(type) {
 		case ServerListed:
 			listed[i.Server.ID] = true
-			w.Fleet.Put(i.Server)
+			changed = w.Fleet.Put(i.Server) || changed
 		case ServerRemoved:
-			w.Fleet.Remove(now, i.ID, removeAt)
+			changed = w.Fleet.Remove(now, i.ID, removeAt) || changed
 		case ConfigChanged:
 			if w.Target.Apply(i.Config) {
 				w.Log.WithField("config", i.Config.Version).Info("configuration in force")
@@ -215,8 +230,8 @@
 	}
 
 	if full && w.Topic == Servers {
-		w.Fleet.Retain(now, listed, removeAt)
+		changed = w.Fleet.Retain(now, listed, removeAt) || changed
 	}
 
-	w.version = batch.Version
+	return changed
 }
--- a/internal/forward/watch/watch_test.go
+++ b/internal/forward/watch/watch_test.go
@@ -14,13 +14,14 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/watch"
 )
 
 // source is a store that can stop responding, refuse calls and lose its history.
 type source struct {
 	mu           sync.Mutex
-	version      int64
+	version, era int64
 	all          []watch.Item
 	changes      []watch.Item
 	unresponsive bool
@@ -42,7 +43,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return watch.Batch{Version: s.version, Items: s.all}, nil
+	return watch.Batch{Version: s.version, Era: s.era, Items: s.all}, nil
 }
 
 func (s *source) Changes(ctx context.Context, _ watch.Topic, after int64, wait time.Duration) (watch.Batch, error) {
@@ -72,9 +73,9 @@
 		s.historyLost = false
 		return watch.Batch{}, true, watch.ErrHistoryLost
 	case after < s.version:
-		return watch.Batch{Version: s.version, Items: s.changes}, true, nil
+		return watch.Batch{Version: s.version, Era: s.era, Items: s.changes}, true, nil
 	default:
-		return watch.Batch{Version: s.version}, last, nil
+		return watch.Batch{Version: s.version, Era: s.era}, last, nil
 	}
 }
 
@@ -151,7 +152,8 @@
 		log.SetLevel(logrus.PanicLevel)
 
 		watcher := &watch.Watcher{
-			Source: f.source, Topic: topic, Wait: wait, BatchDelay: batchDelay, Target: f.target, Fleet: f.fleet, Freshness: f.tracker, Log: log,
+			Source: f.source, Topic: topic, Wait: wait, BatchDelay: batchDelay, Target: f.target, Fleet: f.fleet, Log: log,
+			Progress: &progress.Follower{Freshness: f.tracker, IsReader: func() bool { return true }, OnPublish: func() {}},
 		}
 
 		ctx, cancel := context.WithCancel(t.Context())
@@ -227,6 +229,26 @@
 	})
 }
 
+// Guards against changes that an entry misses when the store was restored from a copy and its versions have passed the last one
+// that the entry has read.
+func TestWholeTopicIsReadAfterAStoreRestore(t *testing.T) {
+	run(t, watch.Servers, time.Second, 0, func(f *fixture) {
+		f.source.set(func(s *source) {
+			s.era++
+			s.all = []watch.Item{listed("b", false), listed("c", false)}
+			s.version += 3
+			s.changes = nil
+		})
+		time.Sleep(1500 * time.Millisecond)
+
+		_, usable := f.fleet.Get("c")
+		assert.Assert(t, usable, "a server that was listed after the restore is not known")
+
+		_, usable = f.fleet.Get("a")
+		assert.Assert(t, !usable, "a server that is no longer listed is still used")
+	})
+}
+
 // Guards against removing every server when their rows expired during an outage of the store: those that are alive are listed
 // again within two seconds.
 func TestExpiredServersStayInUseUntilTheyAreListedAgain(t *testing.T) {
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -10,9 +10,9 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/entry"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
-	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/watch"
@@ -22,13 +22,6 @@
 )
 
 const (
-	// operatorWait is how long a call waits for a change of the operator's configuration; each response confirms it.
-	operatorWait = 1800 * time.Millisecond
-	// serversWait is how long a call waits for a change in the list of servers. A draining server must be known within
-	// MaxDrainDelay, also if the connection to the store hangs.
-	serversWait = time.Second
-	// batchDelayRatio is the ratio of the watcher's BatchDelay to MaxDrainDelay. Heartbeats of servers are batched during it.
-	batchDelayRatio = 0.35
 	// configTimeout is how long an entry waits for its first configuration. After it, clients are refused until there is one.
 	configTimeout = time.Second
 	// idleTimeout is how long an idle connection of a client stays open if there is no configuration yet.
@@ -77,6 +70,8 @@
 	store := platform.NewStore(settings.StoreAddress)
 	servers := &fleet.Fleet{}
 
+	operator, listing := p.newFollowers()
+
 	server := &entry.Entry{
 		Domain: settings.Domain,
 		Bounds: entry.Bounds{
@@ -86,7 +81,7 @@
 			RetryWindow:        settings.Bounds.RetryWindow,
 		},
 		Fleet:       servers,
-		Freshness:   &freshness.Tracker{},
+		Freshness:   operator.Freshness,
 		Pool:        pool,
 		PlainClient: &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened")},
 		Log:         p.log,
@@ -95,23 +90,28 @@
 	}
 
 	server.Links = &link.Links{
-		Pool: pool, Port: settings.FirstPort, Log: p.log, Confirmed: server.Freshness.Confirmed, OnConfirmation: server.ObserveConfirmation,
+		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing,
+		SettingsVersion: server.ConfigVersion,
 		Settings: func(of fleet.Server) (*relay.Settings, bool) {
 			return server.AgentSettings(of, settings.VM, settings.Bounds.ColdFactor, settings.Bounds.ColdExtra)
 		},
 	}
 	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.EntryCount}
 
+	for _, follower := range []*progress.Follower{operator, listing} {
+		follower.IsReader, follower.OnPublish = server.Links.IsReader, server.Links.NotifySettings
+	}
+
 	servers.OnChange = server.Wake
 	server.RegisterGauges()
 
 	go server.SyncLinks(ctx)
 	go (&watch.Watcher{
-		Source: store, Topic: watch.Operator, Wait: operatorWait, Target: server, Fleet: servers, Freshness: server.Freshness, Log: p.log,
+		Source: store, Topic: watch.Operator, Wait: operator.MaxAge / readsPerMaxAge, Target: server, Fleet: servers, Progress: operator, Log: p.log,
 		OnCall: p.counter("store.calls.operator"),
 	}).Run(ctx)
 	go (&watch.Watcher{
-		Source: store, Topic: watch.Servers, Wait: serversWait, BatchDelay: time.Duration(batchDelayRatio * float64(settings.Bounds.MaxDrainDelay)), Target: server, Fleet: servers, Log: p.log,
+		Source: store, Topic: watch.Servers, Wait: listing.MaxAge / readsPerMaxAge, BatchDelay: listing.MaxAge / readsPerMaxAge, Target: server, Fleet: servers, Progress: listing, Log: p.log,
 		OnCall: p.counter("store.calls.servers"),
 	}).Run(ctx)
 	if p.file != nil {
