Heed servers that announce their leaving or ask for a rest

Cause: Server-Leaving in a response was read nowhere, so that a server got requests until the list, or its own report, showed that it drains. A server that rejected a request with Retry-After was excluded for that request only; the next one of the same VM went there at once.

Response heads pass it on when they arrive, not at the end of a stream. Entries heed it for plain services; an agent heeds it for its model server, tells all entries at once, refuses what waits, and sends neither reports nor orders during a rest. If every server of a plain service rests, requests are refused with the time left.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
@@ -83,6 +84,7 @@
 	a.wake = make(chan struct{}, 1)
 	a.waiters = map[*schedule.Request]chan schedule.Action{}
 	a.watchers = map[*watcher]bool{}
+	a.Upstream.OnNotice = a.observeNotice
 
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -152,8 +154,32 @@
 	}
 }
 
-// refreshReport gets a report from the model server and dispatches the requests that can start after it.
+// observeNotice records a notice in a response of the model server.
+func (a *Agent) observeNotice(_ string, n notice.Notice) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.scheduler.ObserveNotice(time.Now(), n)
+	a.Log.WithField("leaving", n.Leaving).WithField("rest", n.Rest.Milliseconds()).Info("model server stated whether it takes requests")
+	a.dispatch()
+	a.notifyWatchers()
+}
+
+// isResting reports whether the model server has asked to get nothing for a while.
+func (a *Agent) isResting() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.scheduler.RestLeft(time.Now()) > 0
+}
+
+// refreshReport gets a report from the model server and dispatches the requests that can start after it. A server that has asked
+// to get nothing for a while is not called.
 func (a *Agent) refreshReport(ctx context.Context) {
+	if a.isResting() {
+		return
+	}
+
 	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 
@@ -166,6 +192,7 @@
 
 	if err != nil {
 		a.scheduler.MarkUnreachable()
+		a.scheduler.ObserveNotice(time.Now(), report.Notice)
 	} else {
 		a.scheduler.Observe(time.Now(), report)
 	}
--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -114,6 +114,7 @@
 
 	for i, server := range servers {
 		own, others := e.plainLoads.load(server.ID)
+		leaving, restLeft := e.notices.check(now, server)
 		candidates[i] = place.PlainServer{
 			ID:            server.ID,
 			Domain:        server.Domain,
@@ -121,12 +122,14 @@
 			OwnRequests:   own,
 			OtherRequests: others,
 			Suspect:       e.health.suspect(now, server.ID),
+			Leaving:       leaving,
+			RestLeft:      restLeft,
 		}
 	}
 
 	at := place.ChoosePlain(e.Domain, candidates)
 	if at < 0 {
-		return fleet.Server{}, refuse.NoPlainServer(j.request.ID)
+		return fleet.Server{}, refuse.NoPlainServer(j.request.ID, place.NextPlain(candidates))
 	}
 
 	return servers[at], nil
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -82,6 +82,7 @@
 	retryBudget retryBudget
 	plainLoads  plainLoads
 	health      health
+	notices     notices
 }
 
 // Apply puts a configuration in force unless the one in force is as new or newer, and reports whether it did.
--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -17,6 +17,9 @@
 	Slots   int
 	// Draining is true if the server takes no new requests.
 	Draining bool
+	// StartedAt is when the server process started, in Unix milliseconds; 0 if it is not known. A server may start again under
+	// the id that it had.
+	StartedAt int64
 }
 
 // Fleet is the list of backend servers. It is safe for concurrent use.
@@ -143,6 +146,16 @@
 	return server, ok && !server.Draining && !f.evacuated[server.Domain]
 }
 
+// Find returns a listed server, whether it may receive requests or not; false if it is not listed.
+func (f *Fleet) Find(id string) (Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	server, ok := f.servers[id]
+
+	return server, ok
+}
+
 // All returns every listed server.
 func (f *Fleet) All() []Server {
 	f.mu.Lock()
--- a/internal/forward/place/plain.go
+++ b/internal/forward/place/plain.go
@@ -1,5 +1,7 @@
 package place
 
+import "time"
+
 // PlainServer is a server of a plain service, which runs no models, as a candidate for one request.
 type PlainServer struct {
 	ID     string
@@ -12,6 +14,9 @@
 	OtherRequests int
 	// Suspect is true if the last requests to the server failed.
 	Suspect bool
+	// Leaving is true if the server has announced that it leaves, and RestLeft is how long it still wants no requests.
+	Leaving  bool
+	RestLeft time.Duration
 }
 
 const (
@@ -21,13 +26,17 @@
 	suspectLoad = 4.0
 )
 
-// ChoosePlain returns the index of the server with the lowest load per slot; -1 if there are no candidates.
+// ChoosePlain returns the index of the server with the lowest load per slot among those that take requests; -1 if there are none.
 func ChoosePlain(domain string, servers []PlainServer) int {
 	best := -1
 	lowest := 0.0
 
 	for i := range servers {
 		server := &servers[i]
+		if server.Leaving || server.RestLeft > 0 {
+			continue
+		}
+
 		load := float64(server.OwnRequests+server.OtherRequests) / float64(max(server.Slots, 1))
 
 		if server.Domain != domain {
@@ -45,3 +54,16 @@
 
 	return best
 }
+
+// NextPlain returns the time until the first server that wants no requests for a while takes them again; 0 if there is none.
+func NextPlain(servers []PlainServer) time.Duration {
+	next := time.Duration(0)
+
+	for i := range servers {
+		if rest := servers[i].RestLeft; rest > 0 && !servers[i].Leaving && (next == 0 || rest < next) {
+			next = rest
+		}
+	}
+
+	return next
+}
--- a/internal/forward/refuse/refuse.go
+++ b/internal/forward/refuse/refuse.go
@@ -49,9 +49,10 @@
 	}
 }
 
-// NoPlainServer returns the error for a request to a plain service without an available server.
-func NoPlainServer(id string) *fault.Error {
-	return fault.New(fault.NoServer, "no server is available for the service").WithRetryAfter(jitter(id, noServerRetry))
+// NoPlainServer returns the error for a request to a plain service without an available server. The time until one that wants no
+// requests for a while takes them again is the earliest retry; 0 if there is none.
+func NoPlainServer(id string, next time.Duration) *fault.Error {
+	return fault.New(fault.NoServer, "no server is available for the service").WithRetryAfter(jitter(id, max(next, noServerRetry)))
 }
 
 // jitter adds up to jitterShare to a retry delay; the same request always gets the same delay.
--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -18,6 +18,7 @@
 
 	s.report = report
 	s.reachable = true
+	s.ObserveNotice(now, report.Notice)
 
 	loaded := map[Adapter]int64{}
 
@@ -75,7 +76,7 @@
 
 // NextOrder returns the next order for the server; false if none is to be sent.
 func (s *Scheduler) NextOrder(now time.Time) (Order, bool) {
-	if !s.reachable || !s.Configured() || s.report.ModelLoading || s.report.Draining || now.Before(s.noOrdersBefore) {
+	if !s.reachable || !s.Configured() || s.report.ModelLoading || s.resting || s.draining() || now.Before(s.noOrdersBefore) {
 		return Order{}, false
 	}
 
--- a/internal/forward/schedule/report.go
+++ b/internal/forward/schedule/report.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
+
 // Report is the state that a model server reports.
 type Report struct {
 	// StartedAt is the start time of the server process in Unix milliseconds.
@@ -13,6 +15,8 @@
 	ModelLoading bool
 	// Draining is true if the server takes no new requests.
 	Draining bool
+	// Notice is what the server states about whether it takes requests; it is also set in the report of a failed call.
+	Notice notice.Notice
 }
 
 // LoadedModel is a base model that the server holds, with its loaded adapters.
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
 
 const (
@@ -48,6 +49,10 @@
 	prefillTokens int64
 	// noOrdersBefore is the time before which no order is sent.
 	noOrdersBefore time.Time
+	// notices holds what the server stated about whether it takes requests, and resting is true if it took none at the last
+	// dispatch.
+	notices notice.Record
+	resting bool
 	// closed is true once the agent shuts down.
 	closed bool
 }
@@ -81,6 +86,22 @@
 	s.limits = limits
 }
 
+// ObserveNotice records what the server stated about whether it takes requests.
+func (s *Scheduler) ObserveNotice(now time.Time, n notice.Notice) {
+	s.notices.Observe(now, s.report.StartedAt, n)
+	s.resting = s.notices.RestLeft(now) > 0
+}
+
+// RestLeft returns how long the server wants to get nothing; 0 or less if it takes requests.
+func (s *Scheduler) RestLeft(now time.Time) time.Duration {
+	return s.notices.RestLeft(now)
+}
+
+// draining reports whether the server takes no new requests until it is started again.
+func (s *Scheduler) draining() bool {
+	return s.report.Draining || s.notices.Leaving(s.report.StartedAt)
+}
+
 // Close makes the scheduler refuse all requests that have not started.
 func (s *Scheduler) Close() {
 	s.closed = true
@@ -148,6 +169,8 @@
 func (s *Scheduler) Dispatch(now time.Time) []Action {
 	var actions []Action
 
+	s.resting = s.notices.RestLeft(now) > 0
+
 	for _, request := range s.dispatchOrder(now) {
 		if err := s.refusal(now, request); err != nil {
 			s.Remove(request)
@@ -194,8 +217,10 @@
 	switch {
 	case s.closed:
 		return fault.New(fault.Draining, "the agent is shutting down")
-	case s.report.Draining:
+	case s.draining():
 		return fault.New(fault.Draining, "the backend server is draining")
+	case s.resting:
+		return fault.New(fault.Overloaded, "the backend server takes no requests for a while").WithRetryAfter(s.notices.RestLeft(now))
 	case now.After(request.Expires):
 		return fault.New(fault.Overloaded, "the request waited too long to start at the backend server")
 	case s.blockedByOlderVersion(request):
@@ -280,5 +305,9 @@
 		}
 	}
 
+	if s.resting && (next.IsZero() || s.notices.Until().Before(next)) {
+		next = s.notices.Until()
+	}
+
 	return next, !next.IsZero()
 }
--- a/internal/forward/schedule/state.go
+++ b/internal/forward/schedule/state.go
@@ -33,14 +33,14 @@
 
 // Ready reports whether the server answers and takes requests.
 func (s *Scheduler) Ready() bool {
-	return s.reachable && s.Configured() && !s.report.Draining && !s.closed
+	return s.reachable && s.Configured() && !s.resting && !s.draining() && !s.closed
 }
 
 // State returns the current state.
 func (s *Scheduler) State() State {
 	state := State{
 		Ready:            s.Ready(),
-		Draining:         s.report.Draining || s.closed,
+		Draining:         s.draining() || s.closed,
 		Running:          s.running,
 		Waiting:          len(s.queue),
 		IdleAdapterSlots: s.limits.AdapterSlots,
--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
 
 const (
@@ -37,6 +38,9 @@
 	Dial Dialer
 	// OnDial is called before each dial; may be nil.
 	OnDial func()
+	// OnNotice is called with the notice in each response head of the backend server for which the request was intended; may be
+	// nil.
+	OnNotice func(instance string, n notice.Notice)
 
 	idle idlePool[string, *conn]
 }
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
 
 // Codec translates between deliveries and the headers that backend servers use.
@@ -27,6 +28,8 @@
 	NotRun bool
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
+	// Notice is what the server states about whether it takes requests.
+	Notice notice.Notice
 	// Load is nil if the response does not state the load of the server.
 	Load *Load
 	// IdleTimeout is how long the server keeps an idle connection open; 0 if it is not stated.
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
 
 // exchange is the state of one request and its response.
@@ -161,6 +162,8 @@
 		}
 
 		x.info = x.client.Codec.Decode(response.StatusCode, response.Header)
+		x.passNotice()
+
 		if x.info.ID == x.delivery.ID || x.info.ID == "" && !x.info.OK() {
 			return response, nil
 		}
@@ -173,6 +176,13 @@
 	return nil, errors.New("only responses to other requests received")
 }
 
+// passNotice passes the notice of the response to the client's receiver, unless another server has the address.
+func (x *exchange) passNotice() {
+	if x.client.OnNotice != nil && !x.info.Misdirected && x.info.Notice != (notice.Notice{}) {
+		x.client.OnNotice(x.delivery.Instance, x.info.Notice)
+	}
+}
+
 // readResponse reads a response head and skips informational (1xx) responses.
 func readResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -89,6 +89,7 @@
 		Changed:     make(chan struct{}, 1),
 	}
 
+	server.PlainClient.OnNotice = server.ObserveNotice
 	server.Links = &link.Links{
 		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing,
 		SettingsVersion: server.ConfigVersion,
