Bound responses that never end, and count whole events as progress

Cause: a response head was read without a limit, so that a server which sends bytes without end filled the memory of the process; so did the body of a late response to another request, up to the deadline, and an event without end at the entry. A stream whose server sends a byte now and then extended its read timeout each time and lasted until its deadline.

In a stream of events, whole events alone extend the read timeout. Chunk sizes and trailers were bounded by net/http already. Streams as such have no bound on their length.

--- a/internal/forward/upstream/client_test.go
+++ b/internal/forward/upstream/client_test.go
@@ -28,7 +28,7 @@
 func (codec) Decode(status int, header http.Header) upstream.ResponseInfo {
 	return upstream.ResponseInfo{
 		Head: message.Head{Status: status}, ID: header.Get("Id"), Authentic: header.Get("Mark") != "", NotRun: header.Get("Not-Run") != "",
-		Misdirected: status == http.StatusMisdirectedRequest,
+		Misdirected: status == http.StatusMisdirectedRequest, EventStream: header.Get("Content-Type") == "text/event-stream",
 	}
 }
 
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -26,6 +26,8 @@
 	Authentic bool
 	// NotRun is true if the server states that it has not run the request.
 	NotRun bool
+	// EventStream is true if the body is a stream of server-sent events.
+	EventStream bool
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Notice is what the server states about whether it takes requests.
--- a/internal/forward/upstream/conn.go
+++ b/internal/forward/upstream/conn.go
@@ -32,12 +32,16 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head limits the size of response heads.
+	head *headLimiter
 	// expires is when the idle connection may no longer be reused.
 	expires time.Time
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	head := &headLimiter{from: raw}
+
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
 // reusable reports whether an idle connection has not expired, and the peer has neither closed it nor sent bytes, which would
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
@@ -156,11 +157,15 @@
 			return nil, err
 		}
 
+		x.conn.head.start()
+
 		response, err := readResponse(x.conn.reader, request)
 		if err != nil {
 			return nil, err
 		}
 
+		x.conn.head.stop()
+
 		x.info = x.client.Codec.Decode(response.StatusCode, response.Header)
 		x.passNotice()
 
@@ -168,7 +173,7 @@
 			return response, nil
 		}
 
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discard(response.Body); err != nil {
 			return nil, errors.Wrap(err, "discard the response to another request")
 		}
 	}
@@ -211,16 +216,29 @@
 	return errors.Wrap(x.conn.SetReadDeadline(limit), "set deadline")
 }
 
-// forwardBody emits the response body in pieces.
+// forwardBody emits the response body in pieces. In a stream of events, only whole events extend the read timeout.
 func (x *exchange) forwardBody(from io.Reader) error {
 	buffer := make([]byte, readChunkBytes)
+	progressed := true
+
+	var progress events.Progress
 
 	for {
-		if err := x.setReadTimeout(); err != nil {
-			return err
+		if progressed {
+			if err := x.setReadTimeout(); err != nil {
+				return err
+			}
 		}
 
 		n, err := from.Read(buffer)
+
+		if x.info.EventStream {
+			var tooLong error
+			if progressed, tooLong = progress.Scan(buffer[:n]); tooLong != nil {
+				return tooLong
+			}
+		}
+
 		if n > 0 {
 			if x.emit(message.Data{Bytes: buffer[:n]}) != nil {
 				return errReceiverGone
@@ -239,7 +257,15 @@
 
 // discardBody reads a short body to its end and reports whether the connection can be reused after it.
 func (x *exchange) discardBody(response *http.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardBytes))
+	return discard(response.Body) == nil && x.finishWrite()
+}
+
+// discard reads a body to its end, and fails if it has maxDiscardBytes or more.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	if err == nil && n == maxDiscardBytes {
+		err = errors.New("body is too long")
+	}
 
-	return err == nil && n < maxDiscardBytes && x.finishWrite()
+	return errors.Wrap(err, "discard body")
 }
