Rank model servers by sorting

Cause: the rank of each server was the number of servers with a higher score, counted for each, so that one choice took time with the square of their number.

Change: the servers are sorted by score once. The choice is the same.

--- a/internal/forward/place/place.go
+++ b/internal/forward/place/place.go
@@ -4,6 +4,8 @@
 package place
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,16 +86,14 @@
 // request is started; -1 if there are no candidates.
 func Choose(query Query, servers []ModelServer) (int, time.Duration) {
 	best := -1
-	scores := make([]uint64, len(servers))
-
-	for i := range servers {
-		scores[i] = score(query.Adapter, servers[i].ID)
-	}
 
 	var lowest time.Duration
 
-	for i := range servers {
-		if cost := servers[i].cost(query, rankOf(i, scores)); best < 0 || cost < lowest {
+	for rank, i := range ranking(query.Adapter, servers) {
+		cost := servers[i].cost(query, rank)
+
+		// Of servers with the same cost, the first one is chosen.
+		if best < 0 || cost < lowest || cost == lowest && i < best {
 			best, lowest = i, cost
 		}
 	}
@@ -133,17 +133,19 @@
 	}
 }
 
-// rankOf returns the rank of a server, which is the number of servers with a higher rendezvous score.
-func rankOf(index int, scores []uint64) int {
-	higher := 0
+// ranking returns the indices of the servers by their rendezvous scores, the highest first.
+func ranking(adapter string, servers []ModelServer) []int {
+	scores := make([]uint64, len(servers))
+	order := make([]int, len(servers))
 
-	for _, other := range scores {
-		if other > scores[index] {
-			higher++
-		}
+	for i := range servers {
+		scores[i] = score(adapter, servers[i].ID)
+		order[i] = i
 	}
 
-	return higher
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+
+	return order
 }
 
 func score(adapter, id string) uint64 {
--- a/internal/forward/place/place_test.go
+++ b/internal/forward/place/place_test.go
@@ -161,3 +161,19 @@
 		})
 	}
 }
+
+// BenchmarkChoose measures one choice by the number of model servers.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{18, 120, 880} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers := make([]place.ModelServer, count)
+			for i := range servers {
+				servers[i] = place.ModelServer{ID: fmt.Sprintf("i-%08x", i), Domain: "d", IdleAdapterSlots: 11}
+			}
+
+			for b.Loop() {
+				place.Choose(place.Query{Adapter: "m/a1", Domain: "d"}, servers)
+			}
+		})
+	}
+}
