Ignore rows of a restored store that are known to be outdated

Cause: after a restore of the store from an older copy, the whole topics are read again, and with them servers that have left since, servers that drain, evacuations that are over, and none of those that began since.

Change: in the first read of a new era, rows that this process knows to be outdated are dropped; they count again once they are written anew. Servers that the copy lacks stay in use for two seconds, in which they register again.

Open: an entry that starts before the rows are written anew does not know what its peers know (docs/proof.md).

--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -2,6 +2,7 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -22,6 +23,16 @@
 	StartedAt int64
 }
 
+// leftRetention is how long a removed server is remembered.
+const leftRetention = 10 * time.Minute
+
+// departure is the removal of a server.
+type departure struct {
+	// startedAt is the start of the server process, in Unix milliseconds.
+	startedAt int64
+	at        time.Time
+}
+
 // Fleet is the list of backend servers. It is safe for concurrent use.
 type Fleet struct {
 	// OnChange is called after each change of the list, without the lock held; it may be nil.
@@ -31,6 +42,8 @@
 	servers map[string]Server
 	// removeAt holds when servers are removed that vanished from the list and stay in use until then.
 	removeAt map[string]time.Time
+	// left holds the servers that were removed within leftRetention.
+	left map[string]departure
 	// evacuated holds the failure domains whose servers get no requests.
 	evacuated map[string]bool
 	// synced is true once the list was read.
@@ -54,6 +67,7 @@
 
 		f.servers[server.ID] = server
 		delete(f.removeAt, server.ID)
+		delete(f.left, server.ID)
 	}
 
 	f.synced = true
@@ -76,8 +90,7 @@
 		if at.After(now) {
 			f.removeAt[id] = at
 		} else {
-			delete(f.servers, id)
-			delete(f.removeAt, id)
+			f.drop(now, id)
 		}
 	}
 
@@ -90,6 +103,30 @@
 	return listed
 }
 
+// drop removes a server and remembers it. The lock must be held.
+func (f *Fleet) drop(now time.Time, id string) {
+	maps.DeleteFunc(f.left, func(_ string, old departure) bool { return now.Sub(old.at) > leftRetention })
+
+	if f.left == nil {
+		f.left = map[string]departure{}
+	}
+
+	f.left[id] = departure{startedAt: f.servers[id].StartedAt, at: now}
+
+	delete(f.servers, id)
+	delete(f.removeAt, id)
+}
+
+// HasLeft reports whether the process of a server was removed within the last ten minutes and not listed since.
+func (f *Fleet) HasLeft(server Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	old, ok := f.left[server.ID]
+
+	return ok && old.startedAt == server.StartedAt
+}
+
 // Retain removes all servers except the listed ones, and reports whether there were others.
 func (f *Fleet) Retain(now time.Time, listed map[string]bool, at time.Time) bool {
 	changed := false
@@ -124,8 +161,7 @@
 		}
 
 		if until, ok := f.removeAt[id]; ok && now.After(until) {
-			delete(f.servers, id)
-			delete(f.removeAt, id)
+			f.drop(now, id)
 
 			continue
 		}
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -22,8 +22,8 @@
 	// minBackoff and maxBackoff bound the backoff after a failed call, which doubles with each failure.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
-	// removalDelay is how long after an outage of the store servers that vanished from the list stay in use: servers whose
-	// rows expired during the outage are listed again by then if they are alive.
+	// removalDelay is how long after an outage or a restore of the store servers that vanished from the list stay in use:
+	// servers that are alive are listed again by then.
 	removalDelay = 2 * time.Second
 )
 
@@ -55,8 +55,9 @@
 	// OnCall is called before each call of the store; it may be nil.
 	OnCall func()
 
-	// version is the store's newest version at the last read, and era that of the store.
+	// version is the store's newest version at the last read, and era that of the store; both are set if read is true.
 	version, era int64
+	read         bool
 	evacuated    map[string]bool
 	// unavailable is true if the last call failed, and availableSince is when a call succeeded after the last failure.
 	unavailable    bool
@@ -99,7 +100,7 @@
 
 // record records that the topic was read.
 func (w *Watcher) record(requested time.Duration, batch Batch, changed bool) {
-	w.version, w.era = batch.Version, batch.Era
+	w.version, w.era, w.read = batch.Version, batch.Era, true
 	w.Progress.Record(progress.Read{
 		Newest: progress.Mark{Era: batch.Era, Version: batch.Version}, Changed: changed, Requested: requested, StoreClock: batch.Clock,
 	})
@@ -195,7 +196,13 @@
 	listed := map[string]bool{}
 	evacuated := maps.Clone(w.evacuated)
 
-	if full || evacuated == nil {
+	restored := full && w.read && batch.Era != w.era
+	if restored {
+		batch.Items = dropOutdated(batch.Items, w.Fleet)
+		removeAt = now.Add(removalDelay)
+	}
+
+	if full && !restored || evacuated == nil {
 		evacuated = map[string]bool{}
 	}
 
