--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
@@ -172,6 +173,8 @@
 	message := a.stateMessage(state, w, publisher.Record(now, content))
 	a.mu.Unlock()
 
+	metric.Count(a.Metrics, "state.sent")
+
 	return errors.Wrap(stream.Send(message), "send state")
 }
 
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -69,6 +69,13 @@
 		age, _ := e.Freshness.Age()
 		return age.Milliseconds()
 	})
+	gauge("store.reader", func() int64 {
+		if e.Links.IsReader() {
+			return 1
+		}
+
+		return 0
+	})
 	gauge("servers.listed", func() int64 { return int64(len(e.Fleet.All())) })
 	gauge("agents.linked", func() int64 { return int64(e.Links.ConnectedCount()) })
 	gauge("entries.known", func() int64 { return int64(e.Links.EntryCount()) })
