Keep entries from using two holders of an account at the same time

The holder of an account follows from the list of servers, and two entries went by different lists for 2 to 3 s, so that two holders granted the whole rate.

Ruled out: the withheld reserve (each holder granted its own full rate), and the tenure (both holders had one from the start).

Change: - A server that has vanished from the list, but stays in use for a while, is no holder as long as another server is listed. - When the store responded again is published with the confirmations, so that all entries keep vanished servers until the same time. Before, an entry that made no call during an outage removed servers at once. - An entry that has known for half a second of a newer list, but could not read it, requests no tokens and uses its reserve.

--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -140,14 +140,23 @@
 		return nil
 	}
 
-	return &relay.Confirmation{Era: c.Newest.Era, Version: c.Newest.Version, At: PeerTimeToWire(at)}
+	wire := &relay.Confirmation{Era: c.Newest.Era, Version: c.Newest.Version, At: PeerTimeToWire(at)}
+
+	if regained, ok := receiver.ToPeer(c.Regained); ok && c.Failed {
+		wire.Regained = PeerTimeToWire(regained)
+	}
+
+	return wire
 }
 
 // ConfirmationFromWire returns the confirmation in a wire message; false if the message is nil.
 func ConfirmationFromWire(wire *relay.Confirmation) (progress.Confirmation, bool) {
 	at, ok := LocalTimeFromWire(wire.GetAt())
+	regained, failed := LocalTimeFromWire(wire.GetRegained())
 
-	return progress.Confirmation{Newest: progress.Mark{Era: wire.GetEra(), Version: wire.GetVersion()}, At: at}, ok
+	return progress.Confirmation{
+		Newest: progress.Mark{Era: wire.GetEra(), Version: wire.GetVersion()}, At: at, Regained: regained, Failed: failed,
+	}, ok
 }
 
 func toHeaders(headers []message.Header) []*relay.Header {
--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -21,6 +21,9 @@
 	// StartedAt is when the server process started, in Unix milliseconds; 0 if it is not known. A server may start again under
 	// the id that it had.
 	StartedAt int64
+	// Vanished is true if the server is no longer listed and stays in use only for a while, because its row may have expired during
+	// an outage of the store. It is set by All.
+	Vanished bool
 }
 
 // leftRetention is how long a removed server is remembered.
@@ -192,13 +195,14 @@
 	return server, ok
 }
 
-// All returns every listed server.
+// All returns every listed server, and those that have vanished from the list and stay in use.
 func (f *Fleet) All() []Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	all := make([]Server, 0, len(f.servers))
-	for _, server := range f.servers {
+	for id, server := range f.servers {
+		_, server.Vanished = f.removeAt[id]
 		all = append(all, server)
 	}
 
--- a/internal/forward/freshness/freshness.go
+++ b/internal/forward/freshness/freshness.go
@@ -46,7 +46,7 @@
 // Confirm records a confirmation: the store's clock in an answer with the newest configuration, and the local time at which
 // the request for it was sent.
 func (t *Tracker) Confirm(requested, store time.Duration) {
-	now := t.now()
+	now := t.Clock()
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -77,7 +77,7 @@
 
 // Fail records a failed call of the store.
 func (t *Tracker) Fail() {
-	now := t.now()
+	now := t.Clock()
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,7 +89,7 @@
 
 // FailingFor returns the time since the first failed call after the last confirmation by the store; 0 if there was none.
 func (t *Tracker) FailingFor() time.Duration {
-	now := t.now()
+	now := t.Clock()
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,7 +103,7 @@
 
 // ConfirmRelayed records the local time at which the store confirmed the configuration in force to another process.
 func (t *Tracker) ConfirmRelayed(at time.Duration) {
-	at = min(at, t.now())
+	at = min(at, t.Clock())
 
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -127,7 +127,7 @@
 func (t *Tracker) Age() (time.Duration, bool) {
 	at, known := t.Confirmed()
 
-	return t.now() - at, known
+	return t.Clock() - at, known
 }
 
 // SharedAge returns the time since the newest confirmation that this process or another one received from the store; false if
@@ -142,7 +142,7 @@
 		return age, known
 	}
 
-	relayed := t.now() - t.relayed
+	relayed := t.Clock() - t.relayed
 	if known {
 		relayed = min(relayed, age)
 	}
@@ -150,7 +150,8 @@
 	return relayed, true
 }
 
-func (t *Tracker) now() time.Duration {
+// Clock returns the local time: a reading of Now, or of the function Clock.
+func (t *Tracker) Clock() time.Duration {
 	if t.Now != nil {
 		return t.Now()
 	}
--- a/internal/forward/link/grant.go
+++ b/internal/forward/link/grant.go
@@ -10,8 +10,13 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// grantTimeout limits the wait for a grant; it is short because requests wait for the grant.
-const grantTimeout = 150 * time.Millisecond
+const (
+	// grantTimeout limits the wait for a grant; it is short because requests wait for the grant.
+	grantTimeout = 150 * time.Millisecond
+	// maxBehind is how long an entry that has not read the newest list of servers still requests tokens: the others may have
+	// another holder by that list.
+	maxBehind = 500 * time.Millisecond
+)
 
 // GrantClient requests tokens from the agents that hold the buckets of client accounts. It implements quota.Granter.
 type GrantClient struct {
@@ -22,6 +27,10 @@
 
 // Grant implements quota.Granter.
 func (g *GrantClient) Grant(ctx context.Context, account string, wanted float64) (float64, bool) {
+	if g.Links.Servers.BehindFor() > maxBehind {
+		return 0, false
+	}
+
 	holder, ok := g.Links.holder(time.Now(), account)
 	if !ok {
 		return 0, false
@@ -51,21 +60,16 @@
 	tenure  quota.Tenure
 }
 
-// holder returns the agent whose server has the highest score for the account. All entries choose the same holder, since they
-// see the same list of servers. A holder that is disconnected is only replaced once its server is removed from the list.
+// holder returns the agent whose server has the highest score for the account among the listed servers. All entries choose the
+// same holder, since they see the same list. A holder that is disconnected is only replaced once its server vanishes from the list.
+// How long a vanished server stays in use differs between entries; it is a holder only if no server is listed.
 func (l *Links) holder(now time.Time, account string) (holder, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	var (
-		best    *link
-		highest uint64
-	)
-
-	for id, found := range l.links {
-		if score := score(account, id); best == nil || score > highest {
-			best, highest = found, score
-		}
+	best, highest := l.highest(account, false)
+	if best == nil {
+		best, highest = l.highest(account, true)
 	}
 
 	if best == nil {
@@ -86,6 +90,27 @@
 	}, true
 }
 
+// highest returns the link of the server with the highest score for the account, and that score, among the listed or the vanished
+// servers; nil if there is none. The lock must be held.
+func (l *Links) highest(account string, vanished bool) (*link, uint64) {
+	var (
+		best    *link
+		highest uint64
+	)
+
+	for id, found := range l.links {
+		if found.server.Vanished != vanished {
+			continue
+		}
+
+		if score := score(account, id); best == nil || score > highest {
+			best, highest = found, score
+		}
+	}
+
+	return best, highest
+}
+
 // score returns the rank of a server for an account in rendezvous hashing.
 func score(account, id string) uint64 {
 	return xxhash.Sum64String(account + "\x00" + id)
--- a/internal/forward/link/grant_test.go
+++ b/internal/forward/link/grant_test.go
@@ -1,10 +1,15 @@
 package link
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 )
 
 // Guards against a wrong tenure in grant requests: after a change of the holder, the tenure starts with the change, and the
@@ -42,3 +47,46 @@
 	_, ok = (&Links{}).holder(start, "acme")
 	assert.Assert(t, !ok)
 }
+
+// Guards against two holders of an account at the same time: entries keep a server that has vanished from the list for different
+// times, depending on which of them noticed an outage of the store. Seed 314 of the soak had 8,670 tokens in 4 s, and 8,650 were
+// allowed.
+func TestVanishedServerIsNoHolder(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+
+	l := &Links{Log: logrus.New(), Pool: conn.New(nil)}
+	servers := []fleet.Server{{ID: "a", Address: "10.0.0.1:1"}, {ID: "b", Address: "10.0.0.2:1"}}
+	l.Sync(ctx, servers)
+
+	first, ok := l.holder(time.Now(), "acme")
+	assert.Assert(t, ok)
+
+	vanished := 0
+	if first.address == l.Address(servers[1]) {
+		vanished = 1
+	}
+
+	servers[vanished].Vanished = true
+	l.Sync(ctx, servers)
+
+	second, ok := l.holder(time.Now().Add(time.Second), "acme")
+	assert.Assert(t, ok)
+	assert.Assert(t, second.address != first.address, "a server that has vanished is still the holder")
+	assert.Assert(t, second.tenure.Age >= time.Second && second.tenure.Age < 2*time.Second, "%s", second.tenure.Age)
+
+	// The same server is the holder when no other is left, and with a new tenure when it is listed anew.
+	l.Sync(ctx, servers[vanished:vanished+1])
+
+	third, ok := l.holder(time.Now(), "acme")
+	assert.Assert(t, ok)
+	assert.Equal(t, third.address, first.address)
+
+	servers[vanished].Vanished = false
+	l.Sync(ctx, servers)
+
+	fourth, ok := l.holder(time.Now().Add(time.Second), "acme")
+	assert.Assert(t, ok)
+	assert.Equal(t, fourth.address, first.address)
+	assert.Assert(t, fourth.tenure.Age < 2*time.Second, "%s", fourth.tenure.Age)
+}
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -48,7 +48,7 @@
 	mu sync.Mutex
 	// links is keyed by server id.
 	links map[string]*link
-	// removedAt holds when servers were removed from the list, for removalRetention.
+	// removedAt holds when servers were removed from the list or vanished from it, for removalRetention.
 	removedAt map[string]time.Time
 	// firstSync is when the list was first read.
 	firstSync time.Time
@@ -61,8 +61,9 @@
 // link is the connection to the agent of one model server.
 type link struct {
 	// id is that of the server, and address that of the agent; neither changes.
-	id       string
-	address  string
+	id      string
+	address string
+	// openedAt is when the server was listed, or listed anew after it had vanished.
 	openedAt time.Time
 	// server is the latest version of the server in the list.
 	server    fleet.Server
@@ -92,7 +93,7 @@
 		listed[server.ID] = true
 
 		if found := l.links[server.ID]; found != nil && found.server.Address == server.Address {
-			found.server = server
+			l.update(now, found, server)
 			continue
 		}
 
@@ -104,11 +105,26 @@
 			found.cancel()
 			delete(l.links, id)
 
-			l.removedAt[id] = now
+			if !found.server.Vanished {
+				l.removedAt[id] = now
+			}
 		}
 	}
 }
 
+// update replaces the server of a link. One that vanishes from the list is no longer a holder, and may become one again when it is
+// listed anew. The lock must be held.
+func (l *Links) update(now time.Time, found *link, server fleet.Server) {
+	switch {
+	case server.Vanished && !found.server.Vanished:
+		l.removedAt[server.ID] = now
+	case !server.Vanished && found.server.Vanished:
+		found.openedAt = now
+	}
+
+	found.server = server
+}
+
 // open starts the link for a server and cancels the previous one. The lock must be held.
 func (l *Links) open(ctx context.Context, server fleet.Server) {
 	if old := l.links[server.ID]; old != nil {
--- a/internal/forward/progress/follower.go
+++ b/internal/forward/progress/follower.go
@@ -40,8 +40,14 @@
 	readAt time.Time
 	// published is the newest change that another entry has published since the last read.
 	published Mark
+	// behindSince is when this entry first heard of a change that it has not read yet; it is set if behind is true.
+	behindSince time.Duration
+	behind      bool
 	// publishes is true if this entry publishes its reads: as a reader, or since the readers have published nothing for too long.
 	publishes bool
+	// regained is when the store responded again after calls of this or another entry had failed; it is set if failed is true.
+	regained time.Duration
+	failed   bool
 	// wake ends a wait of Await; nil if there is none.
 	wake chan struct{}
 }
@@ -72,6 +78,7 @@
 
 	f.read, f.known, f.readAt = read.Newest, true, time.Now()
 	f.published = Mark{}
+	f.behind = false
 	publishes := f.publishes
 	f.mu.Unlock()
 
@@ -88,6 +95,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	if c.Failed {
+		f.setRegained(c.Regained)
+	}
+
 	if !f.known {
 		return
 	}
@@ -97,12 +108,51 @@
 		return
 	}
 
+	if !f.behind {
+		f.behindSince, f.behind = f.Freshness.Clock(), true
+	}
+
 	if f.published.Before(c.Newest) {
 		f.published = c.Newest
 		f.notify()
 	}
 }
 
+// BehindFor returns for how long this entry has known of a change that it could not read; 0 if there is none.
+func (f *Follower) BehindFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if !f.behind {
+		return 0
+	}
+
+	return f.Freshness.Clock() - f.behindSince
+}
+
+// RecordRegained records that the store responds again after calls of this entry had failed.
+func (f *Follower) RecordRegained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.setRegained(f.Freshness.Clock())
+}
+
+func (f *Follower) setRegained(at time.Duration) {
+	if !f.failed || at > f.regained {
+		f.regained, f.failed = at, true
+	}
+}
+
+// SinceRegained returns the time since the store responded again after calls of this or another entry had failed; false if none
+// has failed. All entries go by the same time, so that they keep the same servers.
+func (f *Follower) SinceRegained() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.Freshness.Clock() - f.regained, f.failed
+}
+
 // Wake ends a wait of Await; it is called when IsReader has changed.
 func (f *Follower) Wake() {
 	f.mu.Lock()
@@ -126,7 +176,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return Confirmation{Newest: f.newest, At: at}, confirmed && f.known && f.publishes
+	return Confirmation{Newest: f.newest, At: at, Regained: f.regained, Failed: f.failed}, confirmed && f.known && f.publishes
 }
 
 // Await returns when the topic is to be read, or when the context ends.
--- a/internal/forward/progress/progress.go
+++ b/internal/forward/progress/progress.go
@@ -27,6 +27,10 @@
 	Newest Mark
 	// At is a reading of freshness.Clock.
 	At time.Duration
+	// Regained is when the store responded again after calls had failed, as a reading of freshness.Clock; it is set if Failed is
+	// true. Servers that vanish from the list soon after it may be alive.
+	Regained time.Duration
+	Failed   bool
 }
 
 // Latest holds the latest of several confirmations. It is not safe for concurrent use.
@@ -43,6 +47,10 @@
 		return true
 	case c.Newest == l.confirmation.Newest:
 		l.confirmation.At = max(l.confirmation.At, c.At)
+
+		if c.Failed && (!l.confirmation.Failed || c.Regained > l.confirmation.Regained) {
+			l.confirmation.Regained, l.confirmation.Failed = c.Regained, true
+		}
 	}
 
 	return false
--- a/internal/forward/progress/progress_test.go
+++ b/internal/forward/progress/progress_test.go
@@ -248,10 +248,32 @@
 
 			age, _ := follower.Freshness.SharedAge()
 			assert.Equal(t, age == 0, c.counts, "%s", age)
+
+			now += time.Second
+			assert.Equal(t, follower.BehindFor() == 0, c.counts)
+			follower.Record(progress.Read{Newest: progress.Mark{Era: 3}, Requested: now, StoreClock: now})
+			assert.Equal(t, follower.BehindFor(), time.Duration(0))
 		})
 	}
 }
 
+// Guards against entries that keep vanished servers for different times, because only some have noticed an outage of the store.
+func TestRegainedStoreIsKnownToAll(t *testing.T) {
+	now := 10 * time.Second
+	follower := &progress.Follower{Freshness: &freshness.Tracker{Now: func() time.Duration { return now }}}
+
+	_, failed := follower.SinceRegained()
+	assert.Assert(t, !failed)
+
+	follower.Observe(progress.Confirmation{At: now, Regained: 9 * time.Second, Failed: true})
+	follower.Observe(progress.Confirmation{At: now, Regained: 8 * time.Second, Failed: true})
+	follower.Observe(progress.Confirmation{At: now})
+
+	since, failed := follower.SinceRegained()
+	assert.Assert(t, failed)
+	assert.Equal(t, since, time.Second)
+}
+
 // Guards against a late confirmation from before a restore that replaces one from after it at an agent.
 func TestLatest(t *testing.T) {
 	var latest progress.Latest
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -59,10 +59,9 @@
 	version, era int64
 	read         bool
 	evacuated    map[string]bool
-	// unavailable is true if the last call failed, and availableSince is when a call succeeded after the last failure.
-	unavailable    bool
-	availableSince time.Time
-	backoff        time.Duration
+	// unavailable is true if the last call failed.
+	unavailable bool
+	backoff     time.Duration
 }
 
 // Run watches the topic until the context ends.
@@ -149,7 +148,7 @@
 	if w.unavailable {
 		w.Log.WithField("topic", w.Topic.String()).WithField("version", w.version).Info("store regained")
 
-		w.availableSince = time.Now()
+		w.Progress.RecordRegained()
 	}
 
 	w.unavailable = false
@@ -188,11 +187,21 @@
 	}
 }
 
+// removeAt returns when servers that have vanished from the list are removed.
+func (w *Watcher) removeAt(now time.Time) time.Time {
+	since, failed := w.Progress.SinceRegained()
+	if !failed {
+		return now
+	}
+
+	return now.Add(removalDelay - since)
+}
+
 // apply applies what was read and reports whether anything has changed.
 func (w *Watcher) apply(batch Batch, full bool) bool {
 	changed := w.Topic == Operator && len(batch.Items) > 0
 	now := time.Now()
-	removeAt := w.availableSince.Add(removalDelay)
+	removeAt := w.removeAt(now)
 	listed := map[string]bool{}
 	evacuated := maps.Clone(w.evacuated)
 
--- a/internal/forward/watch/watch_test.go
+++ b/internal/forward/watch/watch_test.go
@@ -145,7 +145,9 @@
 	t.Helper()
 
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{source: &source{version: 1}, fleet: &fleet.Fleet{}, target: &target{}, tracker: &freshness.Tracker{}}
+		start := time.Now()
+		tracker := &freshness.Tracker{Now: func() time.Duration { return time.Since(start) }}
+		f := &fixture{source: &source{version: 1}, fleet: &fleet.Fleet{}, target: &target{}, tracker: tracker}
 		f.source.all = []watch.Item{listed("a", false), listed("b", false)}
 
 		log := logrus.New()
