Read changes at once that readers have batched

Cause: an entry that does not watch the store itself waited BatchDelay, up to 1 s, after a change before it read the next one, and so counted as behind the list of servers for longer than half a second and used its reserve of tokens.

Change: only readers wait; what they publish is batched already.

--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -171,9 +171,9 @@
 }
 
 // delay returns the time until the next call. It is BatchDelay after changes, and 0 after a response without changes, for
-// which the store has waited already.
+// which the store has waited already. Entries that are not readers learn of changes that the readers have batched.
 func (w *Watcher) delay(batch Batch) time.Duration {
-	if len(batch.Items) == 0 {
+	if len(batch.Items) == 0 || !w.Progress.IsReader() {
 		return 0
 	}
 
