Split the agent's exchange with entries by direction

What an agent receives from entries stands in settings.go, its state message in state.go, and the watchers in watch.go. No behaviour changes.

--- /dev/null
+++ b/internal/forward/agent/settings.go
@@ -0,0 +1,89 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
+)
+
+// receiveSettings applies the settings from one entry until the stream fails.
+func (a *Agent) receiveSettings(stream relay.DRPCRelay_WatchStream, w *watcher) error {
+	for {
+		settings, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive settings")
+		}
+
+		w.peer.Observe(time.Duration(settings.GetClockMs())*time.Millisecond, freshness.Clock())
+
+		a.observeEntry(w, settings)
+		a.configure(settings)
+	}
+}
+
+// observeEntry records what an entry knows of other entries and publishes about the store.
+func (a *Agent) observeEntry(w *watcher, settings *relay.Settings) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	w.entries = int(settings.GetEntries())
+
+	if name := settings.GetEntry(); name != "" {
+		w.name = name
+	}
+
+	if confirmation, ok := convert.ConfirmationFromWire(settings.GetOperator()); ok {
+		w.publishedAt, w.published = confirmation.At, true
+
+		if a.operator.Observe(confirmation) {
+			a.notifyUrgent()
+		}
+	}
+
+	if confirmation, ok := convert.ConfirmationFromWire(settings.GetServers()); ok {
+		a.servers.Observe(confirmation)
+	}
+
+	a.updateEntries()
+}
+
+// configure applies the settings from an entry unless settings of a newer configuration version were received before.
+func (a *Agent) configure(settings *relay.Settings) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if settings.GetConfigVersion() < a.configVersion {
+		return
+	}
+
+	a.configVersion = settings.GetConfigVersion()
+
+	if settings.GetUnchanged() {
+		return
+	}
+
+	limits := schedule.Limits{
+		Slots:           int(settings.GetSlots()),
+		AdapterSlots:    int(settings.GetPlaces()),
+		KVCapacity:      settings.GetMemory(),
+		CapacityMB:      settings.GetCapacityMb(),
+		StartsPerSecond: int(settings.GetRate()),
+	}
+
+	for _, model := range settings.GetModels() {
+		limits.Models = append(limits.Models, schedule.Model{Name: model.GetName(), WeightsMB: model.GetSizeMb(), AdapterMB: model.GetAdapterMb()})
+	}
+
+	a.scheduler.Configure(limits)
+
+	for _, account := range settings.GetAccounts() {
+		a.accounts.Set(time.Now(), account.GetName(), account.GetRate(), account.GetBurst())
+	}
+
+	a.wakeControl()
+}
--- /dev/null
+++ b/internal/forward/agent/state.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/publish"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
+)
+
+// stateMessage returns the state of the model server and the latest confirmations as a message for one entry. With unchanged, the models and adapters are omitted. The lock must be held.
+func (a *Agent) stateMessage(state schedule.State, w *watcher, unchanged bool) *relay.State {
+	_, longest := publish.Intervals(len(a.watchers))
+
+	wire := &relay.State{
+		Ready:      state.Ready,
+		Leaving:    state.Draining,
+		Running:    int32(state.Running),
+		Backlog:    state.Backlog,
+		Idle:       int32(state.IdleAdapterSlots),
+		Fetching:   int32(state.Fetches),
+		Entries:    int32(len(a.watchers)),
+		Unchanged:  unchanged,
+		IntervalMs: longest.Milliseconds(),
+		ClockMs:    freshness.Clock().Milliseconds(),
+		Reader:     w.reader,
+	}
+
+	if confirmation, ok := a.operator.Get(); ok {
+		wire.Operator = convert.ConfirmationToWire(confirmation, &w.peer)
+	}
+
+	if confirmation, ok := a.servers.Get(); ok {
+		wire.Servers = convert.ConfirmationToWire(confirmation, &w.peer)
+	}
+
+	if unchanged {
+		return wire
+	}
+
+	wire.Models = state.Models
+
+	for _, held := range state.Adapters {
+		wire.Adapters = append(wire.Adapters, &relay.Adapter{
+			Model: held.Adapter.Model, Name: held.Adapter.Name, Version: held.Version, Loading: held.Loading,
+		})
+	}
+
+	return wire
+}
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -8,11 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
-	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/publish"
-	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -179,121 +177,3 @@
 
 	return longest, errors.Wrap(stream.Send(message), "send state")
 }
-
-// receiveSettings applies the settings from one entry until the stream fails.
-func (a *Agent) receiveSettings(stream relay.DRPCRelay_WatchStream, w *watcher) error {
-	for {
-		settings, err := stream.Recv()
-		if err != nil {
-			return errors.Wrap(err, "receive settings")
-		}
-
-		w.peer.Observe(time.Duration(settings.GetClockMs())*time.Millisecond, freshness.Clock())
-
-		a.observeEntry(w, settings)
-		a.configure(settings)
-	}
-}
-
-// observeEntry records what an entry knows of other entries and publishes about the store.
-func (a *Agent) observeEntry(w *watcher, settings *relay.Settings) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	w.entries = int(settings.GetEntries())
-
-	if name := settings.GetEntry(); name != "" {
-		w.name = name
-	}
-
-	if confirmation, ok := convert.ConfirmationFromWire(settings.GetOperator()); ok {
-		w.publishedAt, w.published = confirmation.At, true
-
-		if a.operator.Observe(confirmation) {
-			a.notifyUrgent()
-		}
-	}
-
-	if confirmation, ok := convert.ConfirmationFromWire(settings.GetServers()); ok {
-		a.servers.Observe(confirmation)
-	}
-
-	a.updateEntries()
-}
-
-// configure applies the settings from an entry unless settings of a newer configuration version were received before.
-func (a *Agent) configure(settings *relay.Settings) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	if settings.GetConfigVersion() < a.configVersion {
-		return
-	}
-
-	a.configVersion = settings.GetConfigVersion()
-
-	if settings.GetUnchanged() {
-		return
-	}
-
-	limits := schedule.Limits{
-		Slots:           int(settings.GetSlots()),
-		AdapterSlots:    int(settings.GetPlaces()),
-		KVCapacity:      settings.GetMemory(),
-		CapacityMB:      settings.GetCapacityMb(),
-		StartsPerSecond: int(settings.GetRate()),
-	}
-
-	for _, model := range settings.GetModels() {
-		limits.Models = append(limits.Models, schedule.Model{Name: model.GetName(), WeightsMB: model.GetSizeMb(), AdapterMB: model.GetAdapterMb()})
-	}
-
-	a.scheduler.Configure(limits)
-
-	for _, account := range settings.GetAccounts() {
-		a.accounts.Set(time.Now(), account.GetName(), account.GetRate(), account.GetBurst())
-	}
-
-	a.wakeControl()
-}
-
-// stateMessage returns the state of the model server and the latest confirmations as a message for one entry. With unchanged, the models and adapters are omitted. The lock must be held.
-func (a *Agent) stateMessage(state schedule.State, w *watcher, unchanged bool) *relay.State {
-	_, longest := publish.Intervals(len(a.watchers))
-
-	wire := &relay.State{
-		Ready:      state.Ready,
-		Leaving:    state.Draining,
-		Running:    int32(state.Running),
-		Backlog:    state.Backlog,
-		Idle:       int32(state.IdleAdapterSlots),
-		Fetching:   int32(state.Fetches),
-		Entries:    int32(len(a.watchers)),
-		Unchanged:  unchanged,
-		IntervalMs: longest.Milliseconds(),
-		ClockMs:    freshness.Clock().Milliseconds(),
-		Reader:     w.reader,
-	}
-
-	if confirmation, ok := a.operator.Get(); ok {
-		wire.Operator = convert.ConfirmationToWire(confirmation, &w.peer)
-	}
-
-	if confirmation, ok := a.servers.Get(); ok {
-		wire.Servers = convert.ConfirmationToWire(confirmation, &w.peer)
-	}
-
-	if unchanged {
-		return wire
-	}
-
-	wire.Models = state.Models
-
-	for _, held := range state.Adapters {
-		wire.Adapters = append(wire.Adapters, &relay.Adapter{
-			Model: held.Adapter.Model, Name: held.Adapter.Name, Version: held.Version, Loading: held.Loading,
-		})
-	}
-
-	return wire
-}
