Log how the end of a backend server's response is marked

The log lines of agents and entries tell a break that the agent does not see from one that is lost on the way to the caller, but not whether the response had a length, chunks or neither, on which the first hypothesis of the incident depends. The agent's lines of a request carry framing, and both programs count response.framing.FRAMING. No behaviour changes.

Measured: tests of internal/forward and platform pass.

--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -6,10 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 
-	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
-	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
@@ -85,12 +82,12 @@
 	started := time.Now()
 
 	if refused != nil {
-		a.reportExchange(delivery, started.Sub(arrived), 0, *refused)
+		a.reportExchange(delivery, exchangeReport{waited: started.Sub(arrived), last: *refused})
 		return sender.emit(*refused)
 	}
 
 	timeToFirst := time.Duration(0)
-	last, _ := a.Upstream.Exchange(ctx, a.Address, delivery, func(event message.Event) error {
+	last, info := a.Upstream.Exchange(ctx, a.Address, delivery, func(event message.Event) error {
 		if _, isData := event.(message.Data); isData && timeToFirst == 0 {
 			timeToFirst = time.Since(started)
 			a.outputStarted(scheduled)
@@ -99,7 +96,7 @@
 		return sender.emit(event)
 	})
 
-	a.reportExchange(delivery, started.Sub(arrived), timeToFirst, last)
+	a.reportExchange(delivery, exchangeReport{waited: started.Sub(arrived), timeToFirst: timeToFirst, info: info, last: last})
 
 	return sender.emit(last)
 }
@@ -162,32 +159,3 @@
 	a.dispatch()
 	a.notifyWatchers()
 }
-
-// reportExchange logs and counts the outcome of a request that waited for the given time before it was sent. The time to the
-// first output counts from then on.
-func (a *Agent) reportExchange(delivery *message.Delivery, waited, first time.Duration, last message.Event) {
-	entry := a.Log.WithFields(logrus.Fields{
-		"request": delivery.ID, "adapter": delivery.Adapter, "version": delivery.MinVersion, "instance": delivery.Instance,
-		"waited": waited.Milliseconds(), "first": first.Milliseconds(), "patience": delivery.MaxWait.Milliseconds(),
-	})
-
-	metric.Observe(a.Metrics, "wait.queue", waited)
-
-	var err *fault.Error
-
-	switch outcome := last.(type) {
-	case message.Refused:
-		err = outcome.Err
-	case message.Failed:
-		err = outcome.Err
-	default:
-		metric.Count(a.Metrics, "request.done")
-		metric.Observe(a.Metrics, "wait.first", first)
-		entry.Info("request done")
-
-		return
-	}
-
-	metric.Count(a.Metrics, "request.failed."+string(err.Kind))
-	entry.WithField("kind", err.Kind).WithError(err).Info("request failed")
-}
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
@@ -28,6 +29,10 @@
 
 	last, info := e.PlainClient.Exchange(ctx, server.Address, j.delivery(server.ID, 0), emit)
 
+	if info != nil && info.Framing != "" {
+		metric.Count(e.Metrics, "response.framing."+string(info.Framing))
+	}
+
 	if info != nil && info.Load != nil {
 		e.plainLoads.report(server.ID, *info.Load)
 	}
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -28,6 +28,8 @@
 	NotRun bool
 	// EventStream is true if the body is a stream of server-sent events.
 	EventStream bool
+	// Framing is how the end of the body is marked; it is set by the Client, not by the Codec.
+	Framing Framing
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Notice is what the server states about whether it takes requests.
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -167,6 +167,7 @@
 		x.conn.head.stop()
 
 		x.info = x.client.Codec.Decode(response.StatusCode, response.Header)
+		x.info.Framing = framingOf(response)
 		x.passNotice()
 
 		if x.info.ID == x.delivery.ID || x.info.ID == "" && !x.info.OK() {
