Treat a stream that ends inside an event as broken off

Cause: the client of backend servers took the end of a body for its completeness. net/http reports an early end only for bodies with a length or chunks; a body with neither ends with its connection, and a server that crashes closes it in good order. The agent then reported Completed, and the entry wrote the rest of the cut event and the last chunk. The class of fault: the end of a transport is taken for the end of a message.

Ruled out by the lines of the failing test: a lost outcome between agent and entry, and an abort that does not reach the caller.

Change: upstream decides completeness in one place, by framing and content. A stream that ends inside an event is broken off, however it is framed, and one without framing also if it ends before its first event.

--- a/internal/forward/events/progress.go
+++ b/internal/forward/events/progress.go
@@ -14,6 +14,18 @@
 	// lineBytes is the number of bytes in the current line without its end, and eventBytes that since the last whole event.
 	lineBytes  int
 	eventBytes int
+	// seen is true after the first whole event.
+	seen bool
+}
+
+// Seen reports whether a whole event was scanned.
+func (p *Progress) Seen() bool {
+	return p.seen
+}
+
+// InsideEvent reports whether the bytes so far end in the middle of an event. Blank lines before an event belong to none.
+func (p *Progress) InsideEvent() bool {
+	return p.eventBytes > 0
 }
 
 // Scan reports whether the bytes complete an event. It returns ErrTooLong if the event after it is too long.
@@ -35,6 +47,8 @@
 		}
 	}
 
+	p.seen = p.seen || complete
+
 	if p.eventBytes > maxEventBytes {
 		return complete, ErrTooLong
 	}
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
-	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
@@ -217,13 +216,13 @@
 	return errors.Wrap(x.conn.SetReadDeadline(limit), "set deadline")
 }
 
-// forwardBody emits the response body in pieces. In a stream of events, only whole events extend the read timeout.
+// forwardBody emits the response body in pieces and returns an error unless it is complete. In a stream of events, only whole events
+// extend the read timeout.
 func (x *exchange) forwardBody(from io.Reader) error {
 	buffer := make([]byte, readChunkBytes)
+	received := body{framing: x.info.Framing, eventStream: x.info.EventStream}
 	progressed := true
 
-	var progress events.Progress
-
 	for {
 		if progressed {
 			if err := x.setReadTimeout(); err != nil {
@@ -233,11 +232,9 @@
 
 		n, err := from.Read(buffer)
 
-		if x.info.EventStream {
-			var tooLong error
-			if progressed, tooLong = progress.Scan(buffer[:n]); tooLong != nil {
-				return tooLong
-			}
+		var invalid error
+		if progressed, invalid = received.scan(buffer[:n]); invalid != nil {
+			return invalid
 		}
 
 		if n > 0 {
@@ -247,7 +244,7 @@
 		}
 
 		if errors.Is(err, io.EOF) {
-			return nil
+			return received.checkEnd()
 		}
 
 		if err != nil {
