Apply the rule for complete bodies to plain services of the product's own path

The same cause elsewhere: the one-shot client of plain services took a body without a length and chunks for complete, also a stream that ends inside an event. The rule moves into forward/framing, which both clients use. Other readers of whole bodies were checked and need no change: model engines mark the last event, all other bodies are JSON, and refusals count by their head.

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/rest"
 )
 
@@ -71,7 +72,7 @@
 
 	defer func() { _ = response.Body.Close() }()
 
-	body, err := rest.ReadAll(response.Body, c.limit())
+	body, err := c.readBody(response)
 	if err != nil {
 		return Response{}, fault.Wrap(err, fault.OutcomeUnknown, "incomplete response to the call")
 	}
@@ -79,6 +80,23 @@
 	return Response{Status: response.StatusCode, Headers: headersOf(response.Header), Body: body}, nil
 }
 
+// readBody reads the whole body of a response and returns an error if it is known to be incomplete.
+func (c *Client) readBody(response *http.Response) ([]byte, error) {
+	body, err := rest.ReadAll(response.Body, c.limit())
+	if err != nil {
+		return nil, err
+	}
+
+	eventStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	check := framing.Body{Kind: framing.Of(response), EventStream: eventStream}
+
+	if _, err := check.Scan(body); err != nil {
+		return nil, err
+	}
+
+	return body, check.CheckEnd()
+}
+
 func (c *Client) build(ctx context.Context, request Request) (*http.Request, error) {
 	target, err := url.Parse(c.URL)
 	if err != nil {
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
@@ -29,7 +30,7 @@
 	// EventStream is true if the body is a stream of server-sent events.
 	EventStream bool
 	// Framing is how the end of the body is marked; it is set by the Client, not by the Codec.
-	Framing Framing
+	Framing framing.Kind
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Notice is what the server states about whether it takes requests.
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 )
@@ -166,7 +167,7 @@
 		x.conn.head.stop()
 
 		x.info = x.client.Codec.Decode(response.StatusCode, response.Header)
-		x.info.Framing = framingOf(response)
+		x.info.Framing = framing.Of(response)
 		x.passNotice()
 
 		if x.info.ID == x.delivery.ID || x.info.ID == "" && !x.info.OK() {
@@ -220,7 +221,7 @@
 // extend the read timeout.
 func (x *exchange) forwardBody(from io.Reader) error {
 	buffer := make([]byte, readChunkBytes)
-	received := body{framing: x.info.Framing, eventStream: x.info.EventStream}
+	body := framing.Body{Kind: x.info.Framing, EventStream: x.info.EventStream}
 	progressed := true
 
 	for {
@@ -233,7 +234,7 @@
 		n, err := from.Read(buffer)
 
 		var invalid error
-		if progressed, invalid = received.scan(buffer[:n]); invalid != nil {
+		if progressed, invalid = body.Scan(buffer[:n]); invalid != nil {
 			return invalid
 		}
 
@@ -244,7 +245,7 @@
 		}
 
 		if errors.Is(err, io.EOF) {
-			return received.checkEnd()
+			return body.CheckEnd()
 		}
 
 		if err != nil {
