Log the shared prompt parts of failed requests

Entries and agents log the ids of the shared parts of a failed request; entries send them to agents, which see the end of their server first. No behaviour changes.

--- a/internal/forward/agent/report.go
+++ b/internal/forward/agent/report.go
@@ -51,5 +51,5 @@
 	}
 
 	metric.Count(a.Metrics, "request.failed."+string(err.Kind))
-	entry.WithField("kind", err.Kind).WithError(err).Info("request failed")
+	entry.WithField("kind", err.Kind).WithField("parts", delivery.SharedParts).WithError(err).Info("request failed")
 }
--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -34,6 +34,7 @@
 		PatienceMs:  d.MaxWait.Milliseconds(),
 		SilenceMs:   d.ReadTimeout.Milliseconds(),
 		Urgency:     int32(d.Urgency),
+		Parts:       d.SharedParts,
 	}
 }
 
@@ -62,6 +63,7 @@
 		MaxWait:     milliseconds(r.GetPatienceMs()),
 		ReadTimeout: milliseconds(r.GetSilenceMs()),
 		Urgency:     int(r.GetUrgency()),
+		SharedParts: r.GetParts(),
 	}
 }
 
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -6,6 +6,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 )
 
 const (
@@ -24,8 +25,10 @@
 	account  catalog.Account
 	urgency  int
 	deadline time.Time
-	sink     Sink
-	splitter events.Splitter
+	// sharedParts are the ids of the prompt parts that other requests may share.
+	sharedParts []string
+	sink        Sink
+	splitter    events.Splitter
 	// responseStarted is true if the response head was sent to the client.
 	responseStarted bool
 	// clientDisconnected is true if the client has disconnected.
@@ -66,6 +69,8 @@
 		deadline: request.Arrived.Add(timeout),
 		splitter: events.Splitter{LastID: request.LastEventID},
 		excluded: map[string]bool{},
+
+		sharedParts: quarantine.SharedParts(request.PromptParts),
 	}
 }
 
@@ -104,5 +109,6 @@
 		MaxWait:     j.maxWait(),
 		ReadTimeout: j.readTimeout(),
 		Urgency:     j.urgency,
+		SharedParts: j.sharedParts,
 	}
 }
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -116,7 +116,7 @@
 
 	metric.Count(e.Metrics, "try.failed."+string(failed.Err.Kind))
 	e.Log.WithFields(logrus.Fields{
-		"request": j.request.ID, "server": server.ID, "ran": j.runs, "last": j.splitter.LastID, "again": again,
+		"request": j.request.ID, "server": server.ID, "ran": j.runs, "last": j.splitter.LastID, "again": again, "parts": j.sharedParts,
 	}).WithError(failed.Err).Info("try failed")
 
 	if again {
--- a/internal/forward/message/message.go
+++ b/internal/forward/message/message.go
@@ -62,6 +62,8 @@
 	Objective time.Duration
 	// ReadTimeout bounds the wait for the response head and for each piece of the body; 0 means no limit.
 	ReadTimeout time.Duration
+	// SharedParts are the ids of the prompt parts that other requests may share.
+	SharedParts []string
 	// MaxWait is how long the request may wait in the queue of an agent before it is refused.
 	MaxWait time.Duration
 	// Urgency is the priority in the queue; 0 is the most urgent.
--- /dev/null
+++ b/internal/forward/quarantine/parts.go
@@ -0,0 +1,41 @@
+// Package quarantine names the prompt parts that requests share.
+package quarantine
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+)
+
+const (
+	// maxPartBytes is the length of an id above which its hash takes its place, so that callers cannot fill the memory.
+	maxPartBytes = 64
+	// maxParts is the number of parts of one prompt that are considered.
+	maxParts = 64
+)
+
+// SharedParts returns the ids of the parts of a prompt that other requests may share: all but the last, at most maxParts.
+func SharedParts(parts []message.PromptPart) []string {
+	if len(parts) < 2 {
+		return nil
+	}
+
+	shared := parts[:min(len(parts)-1, maxParts)]
+	ids := make([]string, len(shared))
+
+	for i, part := range shared {
+		ids[i] = partID(part.ID)
+	}
+
+	return ids
+}
+
+func partID(id string) string {
+	if len(id) <= maxPartBytes {
+		return id
+	}
+
+	return "hash:" + strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
