Keep prompt parts from model servers whose requests end them

Cause: failures were remembered by server only. Nothing remembered what the requests that ended servers had in common, and each was sent on to a second server. The class of fault: a circuit breaker keyed by the victim instead of the cause.

Ruled out: retries of clients, since the requests are distinct; repeats alone, since first sends would go on at the same rate.

All entries get the report at once over the links that exist. An entry holds a part after three crashes under different requests without a sound beginning of that part; a part that was sound before needs five, so that the other parts of the same requests go free, crashes at the same moment count once, and a held part explains a crash. Entries tell the agent which suspects are sound, and the agent tells the others. A request with a held part gets 503, not run, before its account is charged. One request is tried after a minute, then after twice the time. A request under which a server ended is not sent on if another crash raises suspicion of its parts.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
@@ -71,6 +72,10 @@
 	// operator and servers hold the latest confirmations that entries have published.
 	operator, servers progress.Latest
 	accounts          quota.Holder
+	// monitor recognizes which requests may have ended the model server, and startedAt is the start of that server in its latest
+	// report; 0 before the first one.
+	monitor   quarantine.Monitor
+	startedAt int64
 	// watchers holds the entries that watch the state.
 	watchers map[*watcher]bool
 	// notified is the state at the last urgent notification of the watchers.
@@ -188,6 +193,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	a.observeEnd(&report, err)
+
 	before := a.scheduler.State().Ready
 
 	if err != nil {
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -98,6 +98,10 @@
 
 	a.reportExchange(delivery, exchangeReport{waited: started.Sub(arrived), timeToFirst: timeToFirst, info: info, last: last})
 
+	if info != nil && info.EndedAtStart {
+		a.responseBroken(delivery)
+	}
+
 	return sender.emit(last)
 }
 
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/publish"
@@ -8,8 +10,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// stateMessage returns the state of the model server and the latest confirmations as a message for one entry. With unchanged, the models and adapters are omitted. The lock must be held.
-func (a *Agent) stateMessage(state schedule.State, w *watcher, unchanged bool) *relay.State {
+// stateMessage returns the state of the model server and the latest confirmations as a message for one entry, without what is
+// unchanged. The lock must be held.
+func (a *Agent) stateMessage(state schedule.State, w *watcher, unchanged publish.Unchanged) *relay.State {
 	_, longest := publish.Intervals(len(a.watchers))
 
 	wire := &relay.State{
@@ -20,10 +23,12 @@
 		Idle:       int32(state.IdleAdapterSlots),
 		Fetching:   int32(state.Fetches),
 		Entries:    int32(len(a.watchers)),
-		Unchanged:  unchanged,
+		Unchanged:  unchanged.Holdings,
 		IntervalMs: longest.Milliseconds(),
 		ClockMs:    freshness.Clock().Milliseconds(),
 		Reader:     w.reader,
+
+		EvidenceUnchanged: unchanged.Evidence,
 	}
 
 	if confirmation, ok := a.operator.Get(); ok {
@@ -34,7 +39,14 @@
 		wire.Servers = convert.ConfirmationToWire(confirmation, &w.peer)
 	}
 
-	if unchanged {
+	if !unchanged.Evidence {
+		now := time.Now()
+		evidence := a.monitor.Evidence(now)
+		wire.Crashes = convert.CrashesToWire(now, evidence.Crashes)
+		wire.Sound = evidence.Sound
+	}
+
+	if unchanged.Holdings {
 		return wire
 	}
 
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -162,7 +162,7 @@
 	a.mu.Lock()
 	state := a.scheduler.State()
 	latest, _ := a.operator.Get()
-	content := publish.Content{State: state, Operator: latest.Newest}
+	content := publish.Content{State: state, Operator: latest.Newest, Evidence: a.monitor.Version()}
 
 	if wait := publisher.Wait(now, content, len(a.watchers)); wait > 0 {
 		a.mu.Unlock()
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -73,6 +73,8 @@
 	Limiter *quota.Limiter
 	Log     logrus.FieldLogger
 	Metrics metrics.Registry
+	// Quarantine keeps prompt parts from model servers whose requests end them.
+	Quarantine *Quarantine
 	// Changed wakes SyncLinks; its capacity is 1.
 	Changed chan struct{}
 
@@ -192,17 +194,22 @@
 	j := newJob(request, route, config)
 
 	if !route.Public && config.RequiresKeys() {
-		if err := e.authorizeAndCharge(ctx, j, config); err != nil {
+		if err := e.authorize(j, config); err != nil {
 			return nil, err
 		}
 	}
 
-	return j, nil
+	// A request that is kept from the servers costs its account nothing.
+	if err := e.checkQuarantine(j); err != nil {
+		return nil, err
+	}
+
+	return j, e.charge(ctx, j)
 }
 
-// authorizeAndCharge finds the client account of the request's key, sets the account and its urgency, and takes the cost of the
-// request from its quota. It refuses all requests while the configuration may be too old to contain the latest revocations.
-func (e *Entry) authorizeAndCharge(ctx context.Context, j *job, config *catalog.Config) *fault.Error {
+// authorize finds the client account of the request's key and sets the account and its urgency. It refuses all requests while the
+// configuration may be too old to contain the latest revocations.
+func (e *Entry) authorize(j *job, config *catalog.Config) *fault.Error {
 	age, known := e.Freshness.SharedAge()
 	if !known || age > e.Bounds.MaxRevocationDelay-staleMargin {
 		// Without a confirmation, the age is the time since the VM was booted.
@@ -220,6 +227,16 @@
 		j.urgency = account.Urgency
 	}
 
+	return nil
+}
+
+// charge takes the cost of the request from the quota of its client account, if it has one.
+func (e *Entry) charge(ctx context.Context, j *job) *fault.Error {
+	account := j.account
+	if account.Name == "" {
+		return nil
+	}
+
 	return e.Limiter.Take(ctx, account.Name, account.Rate, account.Burst, account.Cost(j.request.PromptTokens, j.request.MaxOutputTokens))
 }
 
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -33,6 +33,10 @@
 	responseStarted bool
 	// clientDisconnected is true if the client has disconnected.
 	clientDisconnected bool
+	// triedPart is the prompt part in quarantine that this request tries; empty for none.
+	triedPart string
+	// brokenAtStart is true if the last server sent the head of a response and nothing of its body.
+	brokenAtStart bool
 	// runs counts the servers at which the request may have run.
 	runs int
 	// refusals counts the servers that refused the request.
--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -27,7 +27,8 @@
 
 	return &Entry{
 		Freshness: &freshness.Tracker{}, Links: &link.Links{}, Pool: conn.New(dial), Log: log, Metrics: metrics.NewRegistry(),
-		Bounds: Bounds{RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second},
+		Quarantine: &Quarantine{Log: log, Metrics: metrics.NewRegistry()},
+		Bounds:     Bounds{RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second},
 	}
 }
 
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -76,6 +76,7 @@
 
 		return 0
 	})
+	gauge("quarantine.held", e.Quarantine.held)
 	gauge("servers.listed", func() int64 { return int64(len(e.Fleet.All())) })
 	gauge("agents.linked", func() int64 { return int64(e.Links.ConnectedCount()) })
 	gauge("entries.known", func() int64 { return int64(e.Links.EntryCount()) })
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -52,6 +52,10 @@
 
 	for {
 		server, err := e.choose(j)
+		if err == nil {
+			err = e.Quarantine.admit(j)
+		}
+
 		if err != nil {
 			e.fail(ctx, j, err)
 			return
@@ -112,7 +116,7 @@
 		e.health.recordFailure(time.Now(), server.ID)
 	}
 
-	again := wanted && j.retryable() && e.retryBudget.takeRetry(time.Now(), j.service.Name, e.Bounds, e.Links.EntryCount())
+	again := wanted && j.retryable() && e.mayRepeat(j) && e.retryBudget.takeRetry(time.Now(), j.service.Name, e.Bounds, e.Links.EntryCount())
 
 	metric.Count(e.Metrics, "try.failed."+string(failed.Err.Kind))
 	e.Log.WithFields(logrus.Fields{
@@ -128,6 +132,11 @@
 	return false
 }
 
+// mayRepeat reports whether a failed request may be sent to another server, as far as the end of its last one is concerned.
+func (e *Entry) mayRepeat(j *job) bool {
+	return !j.brokenAtStart || j.triedPart == "" && e.Quarantine.mayRepeat(j.request.ID, j.sharedParts)
+}
+
 // fail ends the request with an error, which is adapted to what is known of the client, the deadline and earlier runs.
 func (e *Entry) fail(ctx context.Context, j *job, err *fault.Error) {
 	if j.clientDisconnected || errors.Is(ctx.Err(), context.Canceled) {
@@ -171,6 +180,8 @@
 
 	checkRefused(j, response.status, last)
 
+	j.brokenAtStart = response.status == http.StatusOK && !response.begun
+
 	if _, ended := last.(message.Completed); ended {
 		e.health.recordSuccess(server.ID)
 		return response.finish()
@@ -185,6 +196,8 @@
 	job   *job
 	// status is the status that the server sent; 0 before the head.
 	status int
+	// begun is true after the first whole event, or the first byte of another body.
+	begun bool
 	// withheld is true if the response is an error that is not forwarded, because the request may be retried.
 	withheld bool
 }
@@ -240,6 +253,11 @@
 		return nil
 	}
 
+	if !r.begun && r.status == http.StatusOK {
+		r.begun = true
+		r.entry.Quarantine.recordSound(r.job.request.ID, r.job.sharedParts)
+	}
+
 	if r.job.timeToFirst == 0 {
 		r.job.timeToFirst = time.Since(r.job.request.Arrived)
 		metric.Observe(r.entry.Metrics, "latency.first", r.job.timeToFirst)
--- a/internal/forward/framing/body.go
+++ b/internal/forward/framing/body.go
@@ -21,12 +21,16 @@
 	// EventStream is true if the body is a stream of server-sent events.
 	EventStream bool
 
+	// received is true after the first bytes.
+	received bool
 	progress events.Progress
 }
 
 // Scan reports whether the bytes are progress: any bytes, or the end of an event in a stream. It returns an error if an event is too
 // long.
 func (b *Body) Scan(data []byte) (bool, error) {
+	b.received = b.received || len(data) > 0
+
 	if !b.EventStream {
 		return true, nil
 	}
@@ -34,6 +38,15 @@
 	return b.progress.Scan(data)
 }
 
+// Begun reports whether a whole event of a stream, or any byte of another body, was scanned.
+func (b *Body) Begun() bool {
+	if b.EventStream {
+		return b.progress.Seen()
+	}
+
+	return b.received
+}
+
 // CheckEnd returns an error if a body that has ended without one is known to be incomplete.
 func (b *Body) CheckEnd() error {
 	switch {
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -43,7 +43,9 @@
 	SettingsVersion func() int64
 	// Operator and Servers exchange the progress of both topics of the store with other entries.
 	Operator, Servers *progress.Follower
-	Log               logrus.FieldLogger
+	// Evidence receives what agents know of the ends of their servers.
+	Evidence EvidenceReceiver
+	Log      logrus.FieldLogger
 
 	mu sync.Mutex
 	// links is keyed by server id.
@@ -70,6 +72,10 @@
 	cancel    context.CancelFunc
 	state     State
 	connected bool
+	// suspects and sound list the parts of the crashes that the agent has reported, and evidenceChanged is notified when the agent is to
+	// be told which of the suspects are sound; its capacity is 1.
+	suspects, sound []string
+	evidenceChanged chan struct{}
 }
 
 // Sync opens links for new model servers and closes those of removed servers. A server with a new address gets a new link.
@@ -132,7 +138,7 @@
 	}
 
 	linkCtx, cancel := context.WithCancel(ctx)
-	created := &link{id: server.ID, openedAt: time.Now(), address: l.Address(server), server: server, cancel: cancel}
+	created := &link{id: server.ID, openedAt: time.Now(), address: l.Address(server), server: server, cancel: cancel, evidenceChanged: make(chan struct{}, 1)}
 	l.links[server.ID] = created
 
 	go l.run(linkCtx, created)
@@ -283,6 +289,7 @@
 		timer.Reset(max(time.Duration(state.GetIntervalMs())*time.Millisecond+stateMargin, stateTimeout))
 		peer.Observe(time.Duration(state.GetClockMs())*time.Millisecond, freshness.Clock())
 		l.updateState(agent, state)
+		l.receiveEvidence(agent, state)
 
 		if first {
 			close(clockKnown)
--- a/internal/forward/link/settings.go
+++ b/internal/forward/link/settings.go
@@ -39,6 +39,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-agent.evidenceChanged:
 		case <-clockKnown:
 			// Confirmations can be sent from now on.
 			clockKnown = nil
@@ -58,6 +59,7 @@
 	settings.Entries = int32(l.EntryCount())
 	settings.Operator = publication(l.Operator, stream.peer)
 	settings.Servers = publication(l.Servers, stream.peer)
+	settings.Sound = l.soundSuspects(agent)
 	stream.version, stream.sent = settings.GetConfigVersion(), true
 
 	return stream.Send(settings)
--- a/internal/forward/publish/publish.go
+++ b/internal/forward/publish/publish.go
@@ -32,6 +32,8 @@
 	State schedule.State
 	// Operator is the newest change of the operator's configuration that an entry has published.
 	Operator progress.Mark
+	// Evidence is the version of what is known of the ends of the server.
+	Evidence int
 }
 
 // Publisher decides about the messages to one entry.
@@ -75,16 +77,27 @@
 	return wait, true
 }
 
-// Record records that the content is sent, and reports whether its models and adapters are those of the previous message.
-func (p *Publisher) Record(now time.Time, content Content) bool {
-	unchanged := p.sent && sameHoldings(&content.State, &p.last.State)
+// Unchanged tells which parts of a message are those of the previous one and can be omitted.
+type Unchanged struct {
+	// Holdings are the models and adapters.
+	Holdings bool
+	Evidence bool
+}
+
+// Record records that the content is sent, and returns what it has in common with the previous message.
+func (p *Publisher) Record(now time.Time, content Content) Unchanged {
+	unchanged := Unchanged{
+		Holdings: p.sent && sameHoldings(&content.State, &p.last.State),
+		Evidence: p.sent && content.Evidence == p.last.Evidence,
+	}
 	p.last, p.sentAt, p.sent = content, now, true
 
 	return unchanged
 }
 
 func (p *Publisher) isUrgent(content *Content) bool {
-	return content.State.Ready != p.last.State.Ready || content.State.Draining != p.last.State.Draining || content.Operator != p.last.Operator
+	return content.State.Ready != p.last.State.Ready || content.State.Draining != p.last.State.Draining || content.Operator != p.last.Operator ||
+		content.Evidence != p.last.Evidence
 }
 
 func sameHoldings(one, other *schedule.State) bool {
--- a/internal/forward/publish/publish_test.go
+++ b/internal/forward/publish/publish_test.go
@@ -124,14 +124,32 @@
 	second := schedule.HeldAdapter{Adapter: schedule.Adapter{Model: "m", Name: "a1"}, Version: 2}
 	content := publish.Content{State: schedule.State{Ready: true, Models: []string{"m"}, Adapters: []schedule.HeldAdapter{first}}}
 
-	assert.Assert(t, !publisher.Record(now, content), "first message")
+	assert.Assert(t, !publisher.Record(now, content).Holdings, "first message")
 
 	content.State.Running = 2
-	assert.Assert(t, publisher.Record(now, content), "only the load changed")
+	assert.Assert(t, publisher.Record(now, content).Holdings, "only the load changed")
 
 	content.State.Adapters = []schedule.HeldAdapter{second}
-	assert.Assert(t, !publisher.Record(now, content), "new version")
+	assert.Assert(t, !publisher.Record(now, content).Holdings, "new version")
 
 	content.State.Models = nil
-	assert.Assert(t, !publisher.Record(now, content), "model unloaded")
+	assert.Assert(t, !publisher.Record(now, content).Holdings, "model unloaded")
+}
+
+// Guards against evidence about ends of the server that waits for the next message, is sent again, or is left out.
+func TestEvidenceIsSentAtOnceAndOnce(t *testing.T) {
+	var publisher publish.Publisher
+
+	now := time.Unix(1000, 0)
+	content := publish.Content{State: schedule.State{Ready: true}}
+
+	assert.Assert(t, !publisher.Record(now, content).Evidence, "first message")
+
+	content.Evidence = 1
+	assert.Equal(t, publisher.Wait(now, content, 3), time.Duration(0))
+	assert.Assert(t, !publisher.Record(now, content).Evidence, "new evidence")
+
+	content.State.Running = 2
+	assert.Assert(t, publisher.Wait(now, content, 3) > 0)
+	assert.Assert(t, publisher.Record(now, content).Evidence, "only the load changed")
 }
--- /dev/null
+++ b/internal/forward/quarantine/bench_test.go
@@ -0,0 +1,46 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
+)
+
+// heldTracker returns a tracker with many held parts and as much evidence as it keeps.
+func heldTracker() *quarantine.Tracker {
+	tracker := newTracker()
+
+	for i := range 256 * 3 {
+		tracker.RecordCrash(at(i*300), quarantine.Crash{ID: fmt.Sprint(i), At: at(i * 300), Suspects: []quarantine.Suspect{suspect(fmt.Sprint(i), fmt.Sprint("p", i/3))}})
+	}
+
+	return tracker
+}
+
+// BenchmarkRequest measures what a request costs: its check, its admission and the begin of its response.
+func BenchmarkRequest(b *testing.B) {
+	parts := []string{"shared", "session"}
+
+	for name, tracker := range map[string]*quarantine.Tracker{"calm": newTracker(), "held": heldTracker()} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+
+			for b.Loop() {
+				tracker.Check(start, parts)
+				tracker.Admit(start, parts)
+				tracker.RecordSound(start, parts)
+			}
+		})
+	}
+}
+
+// BenchmarkCrash measures what one more crash costs a tracker that keeps as many as it can.
+func BenchmarkCrash(b *testing.B) {
+	tracker := heldTracker()
+	b.ReportAllocs()
+
+	for i := 0; b.Loop(); i++ {
+		tracker.RecordCrash(at(256*3*300+i), quarantine.Crash{ID: fmt.Sprint("c", i), At: at(256*3*300 + i), Suspects: []quarantine.Suspect{suspect(fmt.Sprint("c", i), "a", "b")}})
+	}
+}
--- a/internal/forward/quarantine/parts.go
+++ b/internal/forward/quarantine/parts.go
@@ -1,4 +1,4 @@
-// Package quarantine names the prompt parts that requests share.
+// Package quarantine decides which prompt parts are kept from model servers, because requests that share them end the servers.
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/forward/quarantine/tracker.go
@@ -0,0 +1,302 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxUnseen is the number of crashes, each under another request, that quarantine a part on which no response is known to have
+	// begun. maxSeen is that for a part that was sound before: other parts of the same requests are more likely the cause.
+	maxUnseen = 3
+	maxSeen   = 5
+	// mergeWindow is the time within which crashes count as one: many servers end at once when a failure domain loses power.
+	mergeWindow = 250 * time.Millisecond
+	// firstHold is how long a part is held before one request with it is tried. It doubles with each crash under such a request, up to
+	// maxHold.
+	firstHold = time.Minute
+	maxHold   = 16 * time.Minute
+	// holdJitter is the part of the time by which holds differ between entries, so that they do not try the part at the same time.
+	holdJitter = 0.5
+	// settleTime is how long after the quarantine of a part crashes under requests that were already on their way may follow.
+	settleTime = 4 * time.Second
+	// maxHolds is the number of parts that are held at the same time, and maxTracked that of the crashes that are kept as evidence.
+	maxHolds   = 256
+	maxTracked = 256
+)
+
+// Tracker decides, in one entry, which parts are held. Its exported fields are set before use.
+type Tracker struct {
+	// Random returns a number from 0 to 1, by which holds are prolonged.
+	Random func() float64
+
+	// crashes holds the evidence by the id of the crash.
+	crashes map[string]Crash
+	sound   soundParts
+	// holds is keyed by the id of the part.
+	holds map[string]hold
+}
+
+// hold is the quarantine of one part.
+type hold struct {
+	// since is when it began, and until is when one request may be tried; each trial postpones the next by period.
+	since, until time.Time
+	period       time.Duration
+}
+
+// Refusal is the reason why a request is not sent.
+type Refusal struct {
+	// Part is the id of the part that is held.
+	Part string
+	// Left is the time until a request with the part may be tried.
+	Left time.Duration
+}
+
+// RecordCrash adds evidence and returns the parts that it puts into quarantine. A crash that is known already changes nothing.
+func (t *Tracker) RecordCrash(now time.Time, crash Crash) []string {
+	if _, known := t.crashes[crash.ID]; known || now.Sub(crash.At) > crashRetention {
+		return nil
+	}
+
+	if t.crashes == nil {
+		t.crashes = map[string]Crash{}
+		t.holds = map[string]hold{}
+	}
+
+	t.dropOld(now)
+	t.crashes[crash.ID] = crash
+
+	if t.prolong(now, &crash) {
+		return nil
+	}
+
+	return t.quarantine(now, &crash)
+}
+
+// RecordSound records that a response has begun on a request with the parts, and returns those that it releases.
+func (t *Tracker) RecordSound(now time.Time, parts []string) []string {
+	var released []string
+
+	for _, id := range parts {
+		t.sound.set(id, now)
+
+		if _, held := t.holds[id]; held {
+			delete(t.holds, id)
+			released = append(released, id)
+		}
+	}
+
+	return released
+}
+
+// HasEvidence reports whether any crash is known.
+func (t *Tracker) HasEvidence() bool {
+	return len(t.crashes) > 0
+}
+
+// KnownSound returns those of the parts on which a response is known to have begun.
+func (t *Tracker) KnownSound(parts []string) []string {
+	return slices.DeleteFunc(slices.Clone(parts), func(id string) bool {
+		_, known := t.sound.last(id)
+		return !known
+	})
+}
+
+// Check returns the reason why a request with the parts is not to be sent; false if it may be sent.
+func (t *Tracker) Check(now time.Time, parts []string) (Refusal, bool) {
+	if len(t.holds) == 0 {
+		return Refusal{}, false
+	}
+
+	for _, id := range parts {
+		if held, ok := t.holds[id]; ok && now.Before(held.until) {
+			return Refusal{Part: id, Left: held.until.Sub(now)}, true
+		}
+	}
+
+	return Refusal{}, false
+}
+
+// Admit is Check for a request that is sent at once. It reports in trial which part is tried by it, if any; the next trial of that part
+// is due only after its period.
+func (t *Tracker) Admit(now time.Time, parts []string) (refusal Refusal, refused bool, trial string) {
+	if refusal, refused = t.Check(now, parts); refused {
+		return refusal, true, ""
+	}
+
+	for _, id := range parts {
+		if held, ok := t.holds[id]; ok {
+			held.until = now.Add(t.jitter(held.period))
+			t.holds[id] = held
+			trial = id
+		}
+	}
+
+	return Refusal{}, false, trial
+}
+
+// MayRepeat reports whether a request under which a server has ended may be sent to another one: not if a crash under another request
+// raises suspicion of one of its parts.
+func (t *Tracker) MayRepeat(request string, parts []string) bool {
+	for _, id := range parts {
+		if _, sound := t.sound.last(id); sound {
+			continue
+		}
+
+		for _, crash := range t.crashes {
+			if blames(&crash, id, request) {
+				return false
+			}
+		}
+	}
+
+	return true
+}
+
+// Held returns the number of parts in quarantine.
+func (t *Tracker) Held() int {
+	return len(t.holds)
+}
+
+// blames reports whether another request than the given one with the part is a suspect of the crash.
+func blames(crash *Crash, id, request string) bool {
+	return slices.ContainsFunc(crash.Suspects, func(s Suspect) bool { return s.Request != request && slices.Contains(s.Parts, id) })
+}
+
+// prolong prolongs the holds of the parts of a crash and reports whether there are any: they explain the crash. A crash under a request
+// that was on its way at the time of the quarantine does not double the period.
+func (t *Tracker) prolong(now time.Time, crash *Crash) bool {
+	explained := false
+
+	for _, id := range crash.parts() {
+		held, ok := t.holds[id]
+		if !ok {
+			continue
+		}
+
+		explained = true
+
+		if crash.At.Sub(held.since) > settleTime {
+			held.period = min(2*held.period, maxHold)
+			held.until = now.Add(t.jitter(held.period))
+			t.holds[id] = held
+		}
+	}
+
+	return explained
+}
+
+// quarantine holds the parts of the crash that have reached their limit, and returns them. If several have, only those with the most
+// crashes are held.
+func (t *Tracker) quarantine(now time.Time, crash *Crash) []string {
+	most := 0
+
+	var reached []string
+
+	for _, id := range crash.parts() {
+		count := t.count(id)
+		limit := maxUnseen
+
+		if _, seen := t.sound.last(id); seen {
+			limit = maxSeen
+		}
+
+		if count < limit || count < most {
+			continue
+		}
+
+		if count > most {
+			most, reached = count, nil
+		}
+
+		reached = append(reached, id)
+	}
+
+	for _, id := range reached {
+		t.makeRoom()
+		t.holds[id] = hold{since: now, until: now.Add(t.jitter(firstHold)), period: firstHold}
+	}
+
+	return reached
+}
+
+// makeRoom ends the hold whose trial is due first if there are maxHolds.
+func (t *Tracker) makeRoom() {
+	if len(t.holds) < maxHolds {
+		return
+	}
+
+	first := ""
+
+	for id, held := range t.holds {
+		if first == "" || held.until.Before(t.holds[first].until) {
+			first = id
+		}
+	}
+
+	delete(t.holds, first)
+}
+
+// count returns the number of crashes that speak against a part since a response last began on it: each within its own mergeWindow and
+// under another request, and none that a held part explains.
+func (t *Tracker) count(id string) int {
+	since, _ := t.sound.last(id)
+	requests := map[string]bool{}
+	crashes := 0
+
+	var counted time.Time
+
+	for _, crash := range t.inOrder() {
+		if !crash.At.After(since) || t.explained(&crash) {
+			continue
+		}
+
+		named := false
+
+		for _, suspect := range crash.Suspects {
+			if slices.Contains(suspect.Parts, id) {
+				requests[suspect.Request] = true
+				named = true
+			}
+		}
+
+		if named && (crashes == 0 || crash.At.Sub(counted) >= mergeWindow) {
+			crashes++
+			counted = crash.At
+		}
+	}
+
+	return min(crashes, len(requests))
+}
+
+// explained reports whether a part of the crash is held.
+func (t *Tracker) explained(crash *Crash) bool {
+	return slices.ContainsFunc(crash.parts(), func(id string) bool {
+		_, held := t.holds[id]
+		return held
+	})
+}
+
+// inOrder returns the crashes, oldest first.
+func (t *Tracker) inOrder() []Crash {
+	return slices.SortedFunc(maps.Values(t.crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+}
+
+// dropOld drops crashes that are older than crashRetention, and the oldest one if there are maxTracked.
+func (t *Tracker) dropOld(now time.Time) {
+	maps.DeleteFunc(t.crashes, func(_ string, c Crash) bool { return now.Sub(c.At) > crashRetention })
+
+	if len(t.crashes) >= maxTracked {
+		delete(t.crashes, t.inOrder()[0].ID)
+	}
+}
+
+// Tracked returns the number of crashes that are kept as evidence.
+func (t *Tracker) Tracked() int {
+	return len(t.crashes)
+}
+
+func (t *Tracker) jitter(period time.Duration) time.Duration {
+	return period + time.Duration(holdJitter*t.Random()*float64(period))
+}
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -31,6 +31,9 @@
 	EventStream bool
 	// Framing is how the end of the body is marked; it is set by the Client, not by the Codec.
 	Framing framing.Kind
+	// EndedAtStart is true if the server closed the connection after the head of a successful response and before its first event,
+	// or the first byte of another body; it is set by the Client, not by the Codec.
+	EndedAtStart bool
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Notice is what the server states about whether it takes requests.
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,7 +60,11 @@
 		return x.failed(errReceiverGone, "client disconnected"), false
 	}
 
-	if err := x.forwardBody(response.Body); err != nil {
+	body := &framing.Body{Kind: x.info.Framing, EventStream: x.info.EventStream}
+
+	if err := x.forwardBody(response.Body, body); err != nil {
+		x.info.EndedAtStart = x.info.OK() && !body.Begun() && isConnectionEnd(err)
+
 		return x.failed(err, "response ended early"), false
 	}
 
@@ -219,9 +224,8 @@
 
 // forwardBody emits the response body in pieces and returns an error unless it is complete. In a stream of events, only whole events
 // extend the read timeout.
-func (x *exchange) forwardBody(from io.Reader) error {
+func (x *exchange) forwardBody(from io.Reader, body *framing.Body) error {
 	buffer := make([]byte, readChunkBytes)
-	body := framing.Body{Kind: x.info.Framing, EventStream: x.info.EventStream}
 	progressed := true
 
 	for {
@@ -254,6 +258,11 @@
 	}
 }
 
+// isConnectionEnd reports whether an error of forwardBody means that the server has ended the connection, in good order or not.
+func isConnectionEnd(err error) bool {
+	return errors.IsAny(err, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, framing.ErrInsideEvent, framing.ErrNoEvent)
+}
+
 // discardBody reads a short body to its end and reports whether the connection can be reused after it.
 func (x *exchange) discardBody(response *http.Response) bool {
 	return discard(response.Body) == nil && x.finishWrite()
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/watch"
@@ -87,16 +89,18 @@
 		Log:         p.log,
 		Metrics:     p.metrics,
 		Changed:     make(chan struct{}, 1),
+		Quarantine:  &entry.Quarantine{Log: p.log, Metrics: p.metrics, Tracker: quarantine.Tracker{Random: rand.Float64}},
 	}
 
 	server.PlainClient.OnNotice = server.ObserveNotice
 	server.Links = &link.Links{
-		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing,
+		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing, Evidence: server.Quarantine,
 		SettingsVersion: server.ConfigVersion,
 		Settings: func(of fleet.Server) (*relay.Settings, bool) {
 			return server.AgentSettings(of, settings.VM, settings.Bounds.ColdFactor, settings.Bounds.ColdExtra)
 		},
 	}
+	server.Quarantine.OnSound = server.Links.NotifySound
 	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.EntryCount}
 
 	for _, follower := range []*progress.Follower{operator, listing} {
