--- a/internal/forward/quarantine/parts.go
+++ b/internal/forward/quarantine/parts.go
@@ -13,7 +13,7 @@
 	// maxPartBytes is the length of an id above which its hash takes its place, so that callers cannot fill the memory.
 	maxPartBytes = 64
 	// maxParts is the number of parts of one prompt that are considered.
-	maxParts = 64
+	maxParts = 32
 )
 
 // SharedParts returns the ids of the parts of a prompt that other requests may share: all but the last, at most maxParts.
