Pass on what entries hold, so that restarted entries know it

An entry that starts in the middle learned of a part only from the agents that saw the crashes; if these were restarted too, it sent the part to servers again. Entries now tell each agent once which parts they hold, and agents pass it on. What is known of sound beginnings is sent with its time: without it, a part that was sound once and then ended servers would have been taken for sound after each crash. A part that was held only because its sound beginnings were unknown here is released as soon as they are known.

Ruled out: rows in the platform's store. They would outlive a restart of all VMs at the same time, which forgets everything now, and cost every entry a third topic.

--- a/internal/forward/agent/evidence.go
+++ b/internal/forward/agent/evidence.go
@@ -8,9 +8,11 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
 // responseBroken records that the model server ended the connection of a request at the start of its response. The next report tells
@@ -23,12 +25,17 @@
 	a.wakeControl()
 }
 
-// recordSound records parts on which an entry has seen responses begin, and notifies all entries if one of them was suspected.
-func (a *Agent) recordSound(parts []string) {
+// recordVerdicts records what an entry has concluded about prompt parts, and notifies all entries if it is news.
+func (a *Agent) recordVerdicts(settings *relay.Settings) {
+	now := time.Now()
+
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if a.monitor.RecordSound(parts) {
+	sound := a.monitor.RecordSound(convert.SoundFromWire(now, settings.GetSound()))
+	held := a.monitor.RecordHolds(now, convert.HoldsFromWire(now, settings.GetHolds()))
+
+	if sound || held {
 		a.notifyUrgent()
 	}
 }
--- a/internal/forward/agent/settings.go
+++ b/internal/forward/agent/settings.go
@@ -22,7 +22,7 @@
 		w.peer.Observe(time.Duration(settings.GetClockMs())*time.Millisecond, freshness.Clock())
 
 		a.observeEntry(w, settings)
-		a.recordSound(settings.GetSound())
+		a.recordVerdicts(settings)
 		a.configure(settings)
 	}
 }
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -43,7 +43,8 @@
 		now := time.Now()
 		evidence := a.monitor.Evidence(now)
 		wire.Crashes = convert.CrashesToWire(now, evidence.Crashes)
-		wire.Sound = evidence.Sound
+		wire.Holds = convert.HoldsToWire(now, evidence.Holds)
+		wire.Sound = convert.SoundToWire(now, evidence.Sound)
 	}
 
 	if unchanged.Holdings {
--- a/internal/forward/convert/evidence.go
+++ b/internal/forward/convert/evidence.go
@@ -40,3 +40,49 @@
 
 	return crashes
 }
+
+// HoldsToWire returns the wire messages for holds. Their times are sent relative to now.
+func HoldsToWire(now time.Time, holds []quarantine.Hold) []*relay.Hold {
+	list := make([]*relay.Hold, len(holds))
+
+	for i, hold := range holds {
+		list[i] = &relay.Hold{
+			Part: hold.Part, AgeMs: now.Sub(hold.Since).Milliseconds(), LeftMs: hold.Until.Sub(now).Milliseconds(), PeriodMs: hold.Period.Milliseconds(),
+		}
+	}
+
+	return list
+}
+
+// HoldsFromWire returns the holds in wire messages that were received at the time now.
+func HoldsFromWire(now time.Time, list []*relay.Hold) []quarantine.Hold {
+	holds := make([]quarantine.Hold, len(list))
+
+	for i, wire := range list {
+		holds[i] = quarantine.Hold{
+			Part: wire.GetPart(), Since: now.Add(-milliseconds(wire.GetAgeMs())), Until: now.Add(milliseconds(wire.GetLeftMs())), Period: milliseconds(wire.GetPeriodMs()),
+		}
+	}
+
+	return holds
+}
+
+// SoundToWire returns the wire messages for beginnings of responses. Their times are sent as the time passed until now.
+func SoundToWire(now time.Time, known []quarantine.Sound) []*relay.Sound {
+	list := make([]*relay.Sound, len(known))
+	for i, sound := range known {
+		list[i] = &relay.Sound{Part: sound.Part, AgeMs: now.Sub(sound.At).Milliseconds()}
+	}
+
+	return list
+}
+
+// SoundFromWire returns the beginnings of responses in wire messages that were received at the time now.
+func SoundFromWire(now time.Time, list []*relay.Sound) []quarantine.Sound {
+	known := make([]quarantine.Sound, len(list))
+	for i, wire := range list {
+		known[i] = quarantine.Sound{Part: wire.GetPart(), At: now.Add(-milliseconds(wire.GetAgeMs()))}
+	}
+
+	return known
+}
--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -17,8 +17,10 @@
 type Quarantine struct {
 	Log     logrus.FieldLogger
 	Metrics metrics.Registry
-	// OnSound is called with parts on which a response has begun for the first time; may be nil.
+	// OnSound is called with parts on which a response has begun for the first time, or that this has released; may be nil.
 	OnSound func(parts []string)
+	// OnHold is called when this entry has put a part into quarantine; may be nil.
+	OnHold  func()
 	Tracker quarantine.Tracker
 
 	mu sync.Mutex
@@ -26,23 +28,55 @@
 
 // ReceiveEvidence implements link.EvidenceReceiver.
 func (q *Quarantine) ReceiveEvidence(server string, evidence quarantine.Evidence) {
+	if q.record(server, &evidence) && q.OnHold != nil {
+		q.OnHold()
+	}
+}
+
+// record records evidence and reports whether it has put a part into quarantine.
+func (q *Quarantine) record(server string, evidence *quarantine.Evidence) bool {
 	now := time.Now()
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	q.logReleased(q.Tracker.RecordSound(now, evidence.Sound), "server", server)
+	q.logReleased(q.Tracker.LearnSound(evidence.Sound), "server", server)
+
+	for _, hold := range evidence.Holds {
+		if q.Tracker.Adopt(hold) {
+			q.logHeld(hold.Part, "another entry", server)
+		}
+	}
+
+	begun := false
 
 	for _, crash := range evidence.Crashes {
 		for _, part := range q.Tracker.RecordCrash(now, crash) {
-			metric.Count(q.Metrics, "quarantine.begun")
-			q.Log.WithFields(logrus.Fields{"part": part, "crash": crash.ID, "server": server}).Warn("prompt part quarantined")
+			q.logHeld(part, crash.ID, server)
+
+			begun = true
 		}
 	}
+
+	return begun
+}
+
+// logHeld logs that a part is in quarantine because of a crash, or because another entry holds it, as the agent of a server says.
+func (q *Quarantine) logHeld(part, cause, server string) {
+	metric.Count(q.Metrics, "quarantine.begun")
+	q.Log.WithFields(logrus.Fields{"part": part, "cause": cause, "server": server}).Warn("prompt part quarantined")
+}
+
+// Holds implements link.EvidenceReceiver.
+func (q *Quarantine) Holds() ([]quarantine.Hold, int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return q.Tracker.Holds()
 }
 
 // KnownSound implements link.EvidenceReceiver.
-func (q *Quarantine) KnownSound(parts []string) []string {
+func (q *Quarantine) KnownSound(parts []string) []quarantine.Sound {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
@@ -57,10 +91,11 @@
 
 	q.mu.Lock()
 	fresh := q.Tracker.HasEvidence() && len(q.Tracker.KnownSound(parts)) < len(parts)
-	q.logReleased(q.Tracker.RecordSound(time.Now(), parts), "request", request)
+	released := q.Tracker.RecordSound(time.Now(), parts)
+	q.logReleased(released, "request", request)
 	q.mu.Unlock()
 
-	if fresh && q.OnSound != nil {
+	if (fresh || len(released) > 0) && q.OnSound != nil {
 		q.OnSound(parts)
 	}
 }
--- a/internal/forward/link/evidence.go
+++ b/internal/forward/link/evidence.go
@@ -13,26 +13,27 @@
 type EvidenceReceiver interface {
 	// ReceiveEvidence records the evidence of the agent of a server.
 	ReceiveEvidence(server string, evidence quarantine.Evidence)
-	// KnownSound returns those of the parts on which this entry has seen responses begin.
-	KnownSound(parts []string) []string
+	// Holds returns the parts that this entry holds, and a number that changes whenever a hold begins.
+	Holds() ([]quarantine.Hold, int)
+	// KnownSound returns what this entry knows of beginnings of responses on the parts.
+	KnownSound(parts []string) []quarantine.Sound
 }
 
 // receiveEvidence passes on new evidence in a state, and has the agent told which of its suspects are sound.
 func (l *Links) receiveEvidence(agent *link, state *relay.State) {
-	if l.Evidence == nil || state.GetEvidenceUnchanged() || len(state.GetCrashes()) == 0 {
+	if l.Evidence == nil || state.GetEvidenceUnchanged() || len(state.GetCrashes())+len(state.GetHolds()) == 0 {
 		return
 	}
 
-	evidence := quarantine.Evidence{Crashes: convert.CrashesFromWire(time.Now(), state.GetCrashes()), Sound: state.GetSound()}
+	now := time.Now()
+	evidence := quarantine.Evidence{
+		Crashes: convert.CrashesFromWire(now, state.GetCrashes()), Holds: convert.HoldsFromWire(now, state.GetHolds()), Sound: convert.SoundFromWire(now, state.GetSound()),
+	}
 
 	l.mu.Lock()
-	known := agent.sound
-	agent.suspects, agent.sound = evidence.Suspects(), evidence.Sound
+	agent.suspects = evidence.Suspects()
 	l.mu.Unlock()
 
-	// Only news count, since a part that was sound may end servers later.
-	evidence.Sound = slices.DeleteFunc(slices.Clone(evidence.Sound), func(id string) bool { return slices.Contains(known, id) })
-
 	l.Evidence.ReceiveEvidence(agent.id, evidence)
 	agent.notifyEvidence()
 }
@@ -49,8 +50,8 @@
 	}
 }
 
-// soundSuspects returns the parts of the agent's crashes that this entry knows to be sound.
-func (l *Links) soundSuspects(agent *link) []string {
+// soundSuspects returns what this entry knows of beginnings on the parts that the agent suspects.
+func (l *Links) soundSuspects(agent *link) []*relay.Sound {
 	l.mu.Lock()
 	suspects := agent.suspects
 	l.mu.Unlock()
@@ -59,7 +60,23 @@
 		return nil
 	}
 
-	return l.Evidence.KnownSound(suspects)
+	return convert.SoundToWire(time.Now(), l.Evidence.KnownSound(suspects))
+}
+
+// holdsToSend returns the holds of this entry if one has begun since they were sent on the stream.
+func (l *Links) holdsToSend(stream *settingsStream) []*relay.Hold {
+	if l.Evidence == nil {
+		return nil
+	}
+
+	holds, version := l.Evidence.Holds()
+	if version == stream.holdsVersion {
+		return nil
+	}
+
+	stream.holdsVersion = version
+
+	return convert.HoldsToWire(time.Now(), holds)
 }
 
 func (a *link) notifyEvidence() {
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -72,9 +72,9 @@
 	cancel    context.CancelFunc
 	state     State
 	connected bool
-	// suspects and sound list the parts of the crashes that the agent has reported, and evidenceChanged is notified when the agent is to
-	// be told which of the suspects are sound; its capacity is 1.
-	suspects, sound []string
+	// suspects lists the parts of the crashes and holds that the agent has reported, and evidenceChanged is notified when the agent is
+	// to be told which of them are sound; its capacity is 1.
+	suspects        []string
 	evidenceChanged chan struct{}
 }
 
--- a/internal/forward/link/settings.go
+++ b/internal/forward/link/settings.go
@@ -22,6 +22,8 @@
 	// version is that of the configuration in the last message with all settings; it is set if sent is true.
 	version int64
 	sent    bool
+	// holdsVersion is that of the holds sent last; 0 before the first one.
+	holdsVersion int
 }
 
 // sendSettings sends the settings to the agent: once at the start, after each change, and at least every settingsPeriod.
@@ -60,6 +62,7 @@
 	settings.Operator = publication(l.Operator, stream.peer)
 	settings.Servers = publication(l.Servers, stream.peer)
 	settings.Sound = l.soundSuspects(agent)
+	settings.Holds = l.holdsToSend(stream)
 	stream.version, stream.sent = settings.GetConfigVersion(), true
 
 	return stream.Send(settings)
--- a/internal/forward/quarantine/monitor.go
+++ b/internal/forward/quarantine/monitor.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -15,15 +16,18 @@
 	maxSuspects = 16
 )
 
-// Monitor recognizes, beside one model server, which requests may have caused its ends. The zero value is ready to use.
+// Monitor recognizes, beside one model server, which requests may have caused its ends, and keeps what entries know for those that start
+// later. The zero value is ready to use.
 type Monitor struct {
 	// broken holds the responses that broke off at their start and are not attributed to an end of the server yet, oldest first.
 	broken []brokenResponse
 	// crashes holds the latest crashes, oldest first.
 	crashes []Crash
-	// sound holds the parts of crashes on which responses are known to have begun.
-	sound map[string]bool
-	// version changes with crashes and sound.
+	// holds holds the parts that entries have in quarantine, for entries that start later, and those that were released since.
+	holds map[string]Hold
+	// sound holds the parts of crashes and holds on which responses are known to have begun.
+	sound map[string]time.Time
+	// version changes with crashes, holds and sound.
 	version int
 }
 
@@ -32,22 +36,31 @@
 	suspect Suspect
 }
 
-// Evidence is what a Monitor knows of the ends of its server.
+// Evidence is what a Monitor knows of the ends of its server, and of the parts that entries hold.
 type Evidence struct {
 	Crashes []Crash
-	// Sound lists the parts of the crashes on which responses are known to have begun.
-	Sound []string
+	Holds   []Hold
+	// Sound lists the parts of the crashes and holds on which responses are known to have begun.
+	Sound []Sound
 }
 
-// Suspects returns the parts of the crashes that are not known to be sound, each once.
+// Suspects returns the parts of the crashes and holds, each once.
 func (e *Evidence) Suspects() []string {
 	var ids []string
 
+	add := func(id string) {
+		if !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+
+	for _, hold := range e.Holds {
+		add(hold.Part)
+	}
+
 	for _, crash := range e.Crashes {
 		for _, id := range crash.parts() {
-			if !slices.Contains(e.Sound, id) && !slices.Contains(ids, id) {
-				ids = append(ids, id)
-			}
+			add(id)
 		}
 	}
 
@@ -89,23 +102,50 @@
 	return crash, true
 }
 
-// RecordSound records that responses have begun on requests with the parts, and reports whether this is news about a crash.
-func (m *Monitor) RecordSound(parts []string) bool {
-	if len(m.crashes) == 0 {
-		return false
+// RecordHolds records the holds of an entry and reports whether one of them is news. One that began before a response on the part is not.
+func (m *Monitor) RecordHolds(now time.Time, holds []Hold) bool {
+	changed := false
+
+	for _, hold := range holds {
+		known, ok := m.holds[hold.Part]
+		if ok && !m.released(&known) || m.released(&hold) || !ok && len(m.holds) >= maxHolds {
+			continue
+		}
+
+		if m.holds == nil {
+			m.holds = map[string]Hold{}
+		}
+
+		m.holds[hold.Part] = hold
+		changed = true
 	}
 
+	if changed {
+		m.dropOld(now)
+		m.version++
+	}
+
+	return changed
+}
+
+// RecordSound records what an entry knows of beginnings, and reports whether it is news about a crash or a hold.
+func (m *Monitor) RecordSound(learned []Sound) bool {
 	changed := false
 
-	for _, id := range parts {
-		if !m.sound[id] && m.suspected(id) {
-			if m.sound == nil {
-				m.sound = map[string]bool{}
-			}
+	for _, sound := range learned {
+		blamedAt, blamed := m.blamedAt(sound.Part)
+		last, known := m.sound[sound.Part]
 
-			m.sound[id] = true
-			changed = true
+		if !blamed || known && (sound.At.Before(blamedAt) || !last.Before(blamedAt)) {
+			continue
 		}
+
+		if m.sound == nil {
+			m.sound = map[string]time.Time{}
+		}
+
+		m.sound[sound.Part] = sound.At
+		changed = true
 	}
 
 	if changed {
@@ -126,26 +166,52 @@
 
 	evidence := Evidence{Crashes: slices.Clone(m.crashes)}
 
-	for id := range m.sound {
-		evidence.Sound = append(evidence.Sound, id)
+	for _, hold := range m.holds {
+		if !m.released(&hold) {
+			evidence.Holds = append(evidence.Holds, hold)
+		}
 	}
 
-	slices.Sort(evidence.Sound)
+	for id, at := range m.sound {
+		evidence.Sound = append(evidence.Sound, Sound{Part: id, At: at})
+	}
 
 	return evidence
 }
 
-// suspected reports whether the part is one of a crash.
-func (m *Monitor) suspected(id string) bool {
-	return slices.ContainsFunc(m.crashes, func(c Crash) bool { return slices.Contains(c.parts(), id) })
+// released reports whether a response has begun on the part since the begin of the hold.
+func (m *Monitor) released(hold *Hold) bool {
+	at, known := m.sound[hold.Part]
+
+	return known && !at.Before(hold.Since)
+}
+
+// blamedAt returns when a crash or a hold last raised suspicion of the part; false if none did.
+func (m *Monitor) blamedAt(id string) (time.Time, bool) {
+	hold, blamed := m.holds[id]
+	last := hold.Since
+
+	for _, crash := range m.crashes {
+		if slices.Contains(crash.parts(), id) {
+			blamed = true
+
+			if crash.At.After(last) {
+				last = crash.At
+			}
+		}
+	}
+
+	return last, blamed
 }
 
-// dropOld drops crashes that are older than crashRetention, and what is known of the parts of dropped crashes.
+// dropOld drops crashes that are older than crashRetention, holds whose trial was due that long ago, and what is known of the parts of
+// dropped crashes.
 func (m *Monitor) dropOld(now time.Time) {
 	m.crashes = slices.DeleteFunc(m.crashes, func(c Crash) bool { return now.Sub(c.At) > crashRetention })
+	maps.DeleteFunc(m.holds, func(_ string, h Hold) bool { return now.Sub(h.Until) > crashRetention })
 
 	for id := range m.sound {
-		if !m.suspected(id) {
+		if _, blamed := m.blamedAt(id); !blamed {
 			delete(m.sound, id)
 		}
 	}
--- a/internal/forward/quarantine/random_test.go
+++ b/internal/forward/quarantine/random_test.go
@@ -45,7 +45,7 @@
 	at      time.Time
 	tracker *quarantine.Tracker
 	crash   *quarantine.Crash
-	sound   []string
+	sound   []quarantine.Sound
 }
 
 // send sends a request through an entry unless it refuses it.
@@ -55,12 +55,12 @@
 	}
 
 	if !slices.Contains(parts, "bad") {
+		tracker.RecordSound(h.now, parts)
+
 		if tracker.HasEvidence() {
-			h.spread(nil, parts)
+			h.spread(nil, tracker.KnownSound(parts))
 		}
 
-		tracker.RecordSound(h.now, parts)
-
 		for _, part := range parts {
 			_, held := tracker.Check(h.now, []string{part})
 			assert.Assert(h.t, !held, "%s is held after a sound beginning", part)
@@ -89,7 +89,7 @@
 }
 
 // spread sends a message to each entry.
-func (h *history) spread(crash *quarantine.Crash, sound []string) {
+func (h *history) spread(crash *quarantine.Crash, sound []quarantine.Sound) {
 	for _, tracker := range h.trackers {
 		delay := time.Duration(h.rand.IntN(600)) * time.Millisecond
 		h.pending = append(h.pending, delayed{at: h.now.Add(delay), tracker: tracker, crash: crash, sound: sound})
@@ -106,7 +106,7 @@
 		case d.at.After(h.now):
 			h.pending = append(h.pending, d)
 		case d.crash == nil:
-			d.tracker.RecordSound(h.now, d.sound)
+			d.tracker.LearnSound(d.sound)
 		default:
 			d.tracker.RecordCrash(h.now, *d.crash)
 
--- a/internal/forward/quarantine/sound.go
+++ b/internal/forward/quarantine/sound.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// Sound states that a response has begun on a request with a part.
+type Sound struct {
+	// Part is the id of the part.
+	Part string
+	// At is the last such begin that is known.
+	At time.Time
+}
+
 // maxSoundParts is the number of parts of one generation of a soundParts.
 const maxSoundParts = 8192
 
@@ -11,8 +19,12 @@
 	current, previous map[string]time.Time
 }
 
-// set records a beginning.
+// set records a beginning, which may be earlier than others.
 func (s *soundParts) set(id string, at time.Time) {
+	if last, ok := s.last(id); ok && at.Before(last) {
+		at = last
+	}
+
 	if s.current == nil {
 		s.current = map[string]time.Time{}
 	}
--- a/internal/forward/quarantine/tracker.go
+++ b/internal/forward/quarantine/tracker.go
@@ -34,15 +34,9 @@
 	// crashes holds the evidence by the id of the crash.
 	crashes map[string]Crash
 	sound   soundParts
-	// holds is keyed by the id of the part.
-	holds map[string]hold
-}
-
-// hold is the quarantine of one part.
-type hold struct {
-	// since is when it began, and until is when one request may be tried; each trial postpones the next by period.
-	since, until time.Time
-	period       time.Duration
+	// holds is keyed by the id of the part, and version changes with each begin of a hold.
+	holds   map[string]Hold
+	version int
 }
 
 // Refusal is the reason why a request is not sent.
@@ -61,7 +55,6 @@
 
 	if t.crashes == nil {
 		t.crashes = map[string]Crash{}
-		t.holds = map[string]hold{}
 	}
 
 	t.dropOld(now)
@@ -79,10 +72,7 @@
 	var released []string
 
 	for _, id := range parts {
-		t.sound.set(id, now)
-
-		if _, held := t.holds[id]; held {
-			delete(t.holds, id)
+		if t.recordSound(Sound{Part: id, At: now}) {
 			released = append(released, id)
 		}
 	}
@@ -90,17 +80,55 @@
 	return released
 }
 
-// HasEvidence reports whether any crash is known.
+// LearnSound records what another process knows of beginnings, and returns the parts that it releases.
+func (t *Tracker) LearnSound(learned []Sound) []string {
+	var released []string
+
+	for _, sound := range learned {
+		if t.recordSound(sound) {
+			released = append(released, sound.Part)
+		}
+	}
+
+	return released
+}
+
+// recordSound records a beginning and reports whether it releases the part. One before the part was held releases it if the crashes since
+// do not suffice to hold a part that was sound.
+func (t *Tracker) recordSound(sound Sound) bool {
+	t.sound.set(sound.Part, sound.At)
+
+	hold, held := t.holds[sound.Part]
+	if !held {
+		return false
+	}
+
+	delete(t.holds, sound.Part)
+
+	if sound.At.Before(hold.Since) && t.count(sound.Part) >= maxSeen {
+		t.holds[sound.Part] = hold
+		return false
+	}
+
+	return true
+}
+
+// HasEvidence reports whether any crash or hold is known.
 func (t *Tracker) HasEvidence() bool {
-	return len(t.crashes) > 0
+	return len(t.crashes)+len(t.holds) > 0
 }
 
-// KnownSound returns those of the parts on which a response is known to have begun.
-func (t *Tracker) KnownSound(parts []string) []string {
-	return slices.DeleteFunc(slices.Clone(parts), func(id string) bool {
-		_, known := t.sound.last(id)
-		return !known
-	})
+// KnownSound returns what is known of beginnings on requests with the parts.
+func (t *Tracker) KnownSound(parts []string) []Sound {
+	var known []Sound
+
+	for _, id := range parts {
+		if at, ok := t.sound.last(id); ok {
+			known = append(known, Sound{Part: id, At: at})
+		}
+	}
+
+	return known
 }
 
 // Check returns the reason why a request with the parts is not to be sent; false if it may be sent.
@@ -110,8 +138,8 @@
 	}
 
 	for _, id := range parts {
-		if held, ok := t.holds[id]; ok && now.Before(held.until) {
-			return Refusal{Part: id, Left: held.until.Sub(now)}, true
+		if held, ok := t.holds[id]; ok && now.Before(held.Until) {
+			return Refusal{Part: id, Left: held.Until.Sub(now)}, true
 		}
 	}
 
@@ -127,7 +155,7 @@
 
 	for _, id := range parts {
 		if held, ok := t.holds[id]; ok {
-			held.until = now.Add(t.jitter(held.period))
+			held.Until = now.Add(t.jitter(held.Period))
 			t.holds[id] = held
 			trial = id
 		}
@@ -177,9 +205,9 @@
 
 		explained = true
 
-		if crash.At.Sub(held.since) > settleTime {
-			held.period = min(2*held.period, maxHold)
-			held.until = now.Add(t.jitter(held.period))
+		if crash.At.Sub(held.Since) > settleTime {
+			held.Period = min(2*held.Period, maxHold)
+			held.Until = now.Add(t.jitter(held.Period))
 			t.holds[id] = held
 		}
 	}
@@ -214,13 +242,44 @@
 	}
 
 	for _, id := range reached {
-		t.makeRoom()
-		t.holds[id] = hold{since: now, until: now.Add(t.jitter(firstHold)), period: firstHold}
+		t.begin(Hold{Part: id, Since: now, Until: now.Add(t.jitter(firstHold)), Period: firstHold})
 	}
 
 	return reached
 }
 
+// begin begins a hold.
+func (t *Tracker) begin(hold Hold) {
+	if t.holds == nil {
+		t.holds = map[string]Hold{}
+	}
+
+	t.makeRoom()
+	t.holds[hold.Part] = hold
+	t.version++
+}
+
+// Adopt begins a hold that another entry has begun, and reports whether it is new here. A part that was sound is held only if the
+// crashes that are known here suffice.
+func (t *Tracker) Adopt(hold Hold) bool {
+	if _, held := t.holds[hold.Part]; held {
+		return false
+	}
+
+	if _, sound := t.sound.last(hold.Part); sound {
+		return false
+	}
+
+	t.begin(hold)
+
+	return true
+}
+
+// Holds returns the holds, and a number that changes whenever one begins.
+func (t *Tracker) Holds() ([]Hold, int) {
+	return slices.Collect(maps.Values(t.holds)), t.version
+}
+
 // makeRoom ends the hold whose trial is due first if there are maxHolds.
 func (t *Tracker) makeRoom() {
 	if len(t.holds) < maxHolds {
@@ -230,7 +289,7 @@
 	first := ""
 
 	for id, held := range t.holds {
-		if first == "" || held.until.Before(t.holds[first].until) {
+		if first == "" || held.Until.Before(t.holds[first].Until) {
 			first = id
 		}
 	}
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -100,7 +100,7 @@
 			return server.AgentSettings(of, settings.VM, settings.Bounds.ColdFactor, settings.Bounds.ColdExtra)
 		},
 	}
-	server.Quarantine.OnSound = server.Links.NotifySound
+	server.Quarantine.OnSound, server.Quarantine.OnHold = server.Links.NotifySound, server.Links.NotifySettings
 	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.EntryCount}
 
 	for _, follower := range []*progress.Follower{operator, listing} {
