Read through the quarantine: split admission off, and keep postponed trials

An entry that starts late got the first time of a trial from agents, also if others had tried the part since, and would have tried it once more. Prolonged holds reach agents with the next settings, and are passed on to entries that connect later only.

--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -12,7 +12,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 )
 
-// Quarantine is the tracker of an entry for concurrent use. It implements link.EvidenceReceiver. Its exported fields are set before
+// Quarantine is the tracker of an entry for concurrent use. It implements link.Quarantine. Its exported fields are set before
 // use.
 type Quarantine struct {
 	Log     logrus.FieldLogger
@@ -26,7 +26,7 @@
 	mu sync.Mutex
 }
 
-// ReceiveEvidence implements link.EvidenceReceiver.
+// ReceiveEvidence implements link.Quarantine.
 func (q *Quarantine) ReceiveEvidence(server string, evidence quarantine.Evidence) {
 	if q.record(server, &evidence) && q.OnHold != nil {
 		q.OnHold()
@@ -67,7 +67,7 @@
 	q.Log.WithFields(logrus.Fields{"part": part, "cause": cause, "server": server}).Warn("prompt part quarantined")
 }
 
-// Holds implements link.EvidenceReceiver.
+// Holds implements link.Quarantine.
 func (q *Quarantine) Holds() ([]quarantine.Hold, int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -75,7 +75,7 @@
 	return q.Tracker.Holds()
 }
 
-// KnownSound implements link.EvidenceReceiver.
+// KnownSound implements link.Quarantine.
 func (q *Quarantine) KnownSound(parts []string) []quarantine.Sound {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/forward/link/evidence.go
+++ b/internal/forward/link/evidence.go
@@ -9,11 +9,11 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// EvidenceReceiver gets what agents know of the ends of their model servers.
-type EvidenceReceiver interface {
+// Quarantine is what an entry knows of prompt parts that end model servers.
+type Quarantine interface {
 	// ReceiveEvidence records the evidence of the agent of a server.
 	ReceiveEvidence(server string, evidence quarantine.Evidence)
-	// Holds returns the parts that this entry holds, and a number that changes whenever a hold begins.
+	// Holds returns the parts that this entry holds, and a number that changes whenever a hold begins or is prolonged.
 	Holds() ([]quarantine.Hold, int)
 	// KnownSound returns what this entry knows of beginnings of responses on the parts.
 	KnownSound(parts []string) []quarantine.Sound
@@ -21,7 +21,7 @@
 
 // receiveEvidence passes on new evidence in a state, and has the agent told which of its suspects are sound.
 func (l *Links) receiveEvidence(agent *link, state *relay.State) {
-	if l.Evidence == nil || state.GetEvidenceUnchanged() || len(state.GetCrashes())+len(state.GetHolds()) == 0 {
+	if l.Quarantine == nil || state.GetEvidenceUnchanged() || len(state.GetCrashes())+len(state.GetHolds()) == 0 {
 		return
 	}
 
@@ -34,7 +34,7 @@
 	agent.suspects = evidence.Suspects()
 	l.mu.Unlock()
 
-	l.Evidence.ReceiveEvidence(agent.id, evidence)
+	l.Quarantine.ReceiveEvidence(agent.id, evidence)
 	agent.notifyEvidence()
 }
 
@@ -56,20 +56,20 @@
 	suspects := agent.suspects
 	l.mu.Unlock()
 
-	if l.Evidence == nil || len(suspects) == 0 {
+	if l.Quarantine == nil || len(suspects) == 0 {
 		return nil
 	}
 
-	return convert.SoundToWire(time.Now(), l.Evidence.KnownSound(suspects))
+	return convert.SoundToWire(time.Now(), l.Quarantine.KnownSound(suspects))
 }
 
 // holdsToSend returns the holds of this entry if one has begun since they were sent on the stream.
 func (l *Links) holdsToSend(stream *settingsStream) []*relay.Hold {
-	if l.Evidence == nil {
+	if l.Quarantine == nil {
 		return nil
 	}
 
-	holds, version := l.Evidence.Holds()
+	holds, version := l.Quarantine.Holds()
 	if version == stream.holdsVersion {
 		return nil
 	}
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -43,9 +43,9 @@
 	SettingsVersion func() int64
 	// Operator and Servers exchange the progress of both topics of the store with other entries.
 	Operator, Servers *progress.Follower
-	// Evidence receives what agents know of the ends of their servers.
-	Evidence EvidenceReceiver
-	Log      logrus.FieldLogger
+	// Quarantine exchanges with agents what is known of prompt parts that end their servers; nil if nothing is.
+	Quarantine Quarantine
+	Log        logrus.FieldLogger
 
 	mu sync.Mutex
 	// links is keyed by server id.
--- /dev/null
+++ b/internal/forward/quarantine/admit.go
@@ -0,0 +1,70 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Refusal is the reason why a request is not sent.
+type Refusal struct {
+	// Part is the id of the part that is held.
+	Part string
+	// Left is the time until a request with the part may be tried.
+	Left time.Duration
+}
+
+// Check returns the reason why a request with the parts is not to be sent; false if it may be sent.
+func (t *Tracker) Check(now time.Time, parts []string) (Refusal, bool) {
+	if len(t.holds) == 0 {
+		return Refusal{}, false
+	}
+
+	for _, id := range parts {
+		if held, ok := t.holds[id]; ok && now.Before(held.Until) {
+			return Refusal{Part: id, Left: held.Until.Sub(now)}, true
+		}
+	}
+
+	return Refusal{}, false
+}
+
+// Admit is Check for a request that is sent at once. It reports in trial which part is tried by it, if any; the next trial of that part
+// is due only after its period.
+func (t *Tracker) Admit(now time.Time, parts []string) (refusal Refusal, refused bool, trial string) {
+	if refusal, refused = t.Check(now, parts); refused {
+		return refusal, true, ""
+	}
+
+	for _, id := range parts {
+		if held, ok := t.holds[id]; ok {
+			held.Until = now.Add(t.jitter(held.Period))
+			t.holds[id] = held
+			trial = id
+		}
+	}
+
+	return Refusal{}, false, trial
+}
+
+// MayRepeat reports whether a request under which a server has ended may be sent to another one: not if a crash under another request
+// raises suspicion of one of its parts.
+func (t *Tracker) MayRepeat(request string, parts []string) bool {
+	for _, id := range parts {
+		if _, sound := t.sound.last(id); sound {
+			continue
+		}
+
+		for _, crash := range t.crashes {
+			if blames(&crash, id, request) {
+				return false
+			}
+		}
+	}
+
+	return true
+}
+
+// blames reports whether another request than the given one with the part is a suspect of the crash.
+func blames(crash *Crash, id, request string) bool {
+	return slices.ContainsFunc(crash.Suspects, func(s Suspect) bool { return s.Request != request && slices.Contains(s.Parts, id) })
+}
--- a/internal/forward/quarantine/monitor.go
+++ b/internal/forward/quarantine/monitor.go
@@ -107,17 +107,7 @@
 	changed := false
 
 	for _, hold := range holds {
-		known, ok := m.holds[hold.Part]
-		if ok && !m.released(&known) || m.released(&hold) || !ok && len(m.holds) >= maxHolds {
-			continue
-		}
-
-		if m.holds == nil {
-			m.holds = map[string]Hold{}
-		}
-
-		m.holds[hold.Part] = hold
-		changed = true
+		changed = m.recordHold(hold) || changed
 	}
 
 	if changed {
@@ -128,6 +118,24 @@
 	return changed
 }
 
+// recordHold records one hold and reports whether it is news. A later trial is not: only entries that start later need it.
+func (m *Monitor) recordHold(hold Hold) bool {
+	known, ok := m.holds[hold.Part]
+
+	switch {
+	case m.released(&hold), !ok && len(m.holds) >= maxHolds:
+		return false
+	case m.holds == nil:
+		m.holds = map[string]Hold{}
+	case ok && !m.released(&known) && !hold.Until.After(known.Until):
+		return false
+	}
+
+	m.holds[hold.Part] = hold
+
+	return !ok || m.released(&known)
+}
+
 // RecordSound records what an entry knows of beginnings, and reports whether it is news about a crash or a hold.
 func (m *Monitor) RecordSound(learned []Sound) bool {
 	changed := false
--- a/internal/forward/quarantine/monitor_test.go
+++ b/internal/forward/quarantine/monitor_test.go
@@ -78,6 +78,11 @@
 	assert.Assert(t, monitor.RecordHolds(at(200), []quarantine.Hold{hold}))
 	assert.Assert(t, !monitor.RecordHolds(at(200), []quarantine.Hold{hold}), "told by another entry")
 
+	postponed := hold
+	postponed.Until = at(120000)
+	assert.Assert(t, !monitor.RecordHolds(at(250), []quarantine.Hold{postponed}), "only for entries that start later")
+	assert.Equal(t, monitor.Evidence(at(260)).Holds[0].Until, postponed.Until)
+
 	late := newTracker()
 	assert.Assert(t, late.Adopt(monitor.Evidence(at(300)).Holds[0]))
 
--- a/internal/forward/quarantine/tracker.go
+++ b/internal/forward/quarantine/tracker.go
@@ -34,19 +34,11 @@
 	// crashes holds the evidence by the id of the crash.
 	crashes map[string]Crash
 	sound   soundParts
-	// holds is keyed by the id of the part, and version changes with each begin of a hold.
+	// holds is keyed by the id of the part, and version changes when one begins or is prolonged.
 	holds   map[string]Hold
 	version int
 }
 
-// Refusal is the reason why a request is not sent.
-type Refusal struct {
-	// Part is the id of the part that is held.
-	Part string
-	// Left is the time until a request with the part may be tried.
-	Left time.Duration
-}
-
 // RecordCrash adds evidence and returns the parts that it puts into quarantine. A crash that is known already changes nothing.
 func (t *Tracker) RecordCrash(now time.Time, crash Crash) []string {
 	if _, known := t.crashes[crash.ID]; known || now.Sub(crash.At) > crashRetention {
@@ -64,7 +56,7 @@
 		return nil
 	}
 
-	return t.quarantine(now, &crash)
+	return t.holdReached(now, &crash)
 }
 
 // RecordSound records that a response has begun on a request with the parts, and returns those that it releases.
@@ -131,67 +123,11 @@
 	return known
 }
 
-// Check returns the reason why a request with the parts is not to be sent; false if it may be sent.
-func (t *Tracker) Check(now time.Time, parts []string) (Refusal, bool) {
-	if len(t.holds) == 0 {
-		return Refusal{}, false
-	}
-
-	for _, id := range parts {
-		if held, ok := t.holds[id]; ok && now.Before(held.Until) {
-			return Refusal{Part: id, Left: held.Until.Sub(now)}, true
-		}
-	}
-
-	return Refusal{}, false
-}
-
-// Admit is Check for a request that is sent at once. It reports in trial which part is tried by it, if any; the next trial of that part
-// is due only after its period.
-func (t *Tracker) Admit(now time.Time, parts []string) (refusal Refusal, refused bool, trial string) {
-	if refusal, refused = t.Check(now, parts); refused {
-		return refusal, true, ""
-	}
-
-	for _, id := range parts {
-		if held, ok := t.holds[id]; ok {
-			held.Until = now.Add(t.jitter(held.Period))
-			t.holds[id] = held
-			trial = id
-		}
-	}
-
-	return Refusal{}, false, trial
-}
-
-// MayRepeat reports whether a request under which a server has ended may be sent to another one: not if a crash under another request
-// raises suspicion of one of its parts.
-func (t *Tracker) MayRepeat(request string, parts []string) bool {
-	for _, id := range parts {
-		if _, sound := t.sound.last(id); sound {
-			continue
-		}
-
-		for _, crash := range t.crashes {
-			if blames(&crash, id, request) {
-				return false
-			}
-		}
-	}
-
-	return true
-}
-
 // Held returns the number of parts in quarantine.
 func (t *Tracker) Held() int {
 	return len(t.holds)
 }
 
-// blames reports whether another request than the given one with the part is a suspect of the crash.
-func blames(crash *Crash, id, request string) bool {
-	return slices.ContainsFunc(crash.Suspects, func(s Suspect) bool { return s.Request != request && slices.Contains(s.Parts, id) })
-}
-
 // prolong prolongs the holds of the parts of a crash and reports whether there are any: they explain the crash. A crash under a request
 // that was on its way at the time of the quarantine does not double the period.
 func (t *Tracker) prolong(now time.Time, crash *Crash) bool {
@@ -209,15 +145,16 @@
 			held.Period = min(2*held.Period, maxHold)
 			held.Until = now.Add(t.jitter(held.Period))
 			t.holds[id] = held
+			t.version++
 		}
 	}
 
 	return explained
 }
 
-// quarantine holds the parts of the crash that have reached their limit, and returns them. If several have, only those with the most
+// holdReached holds the parts of the crash that have reached their limit, and returns them. If several have, only those with the most
 // crashes are held.
-func (t *Tracker) quarantine(now time.Time, crash *Crash) []string {
+func (t *Tracker) holdReached(now time.Time, crash *Crash) []string {
 	most := 0
 
 	var reached []string
@@ -275,7 +212,7 @@
 	return true
 }
 
-// Holds returns the holds, and a number that changes whenever one begins.
+// Holds returns the holds, and a number that changes whenever one begins or is prolonged.
 func (t *Tracker) Holds() ([]Hold, int) {
 	return slices.Collect(maps.Values(t.holds)), t.version
 }
@@ -351,11 +288,7 @@
 	}
 }
 
-// Tracked returns the number of crashes that are kept as evidence.
-func (t *Tracker) Tracked() int {
-	return len(t.crashes)
-}
-
+// jitter prolongs a period by up to holdJitter of it.
 func (t *Tracker) jitter(period time.Duration) time.Duration {
 	return period + time.Duration(holdJitter*t.Random()*float64(period))
 }
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -94,7 +94,7 @@
 
 	server.PlainClient.OnNotice = server.ObserveNotice
 	server.Links = &link.Links{
-		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing, Evidence: server.Quarantine,
+		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing, Quarantine: server.Quarantine,
 		SettingsVersion: server.ConfigVersion,
 		Settings: func(of fleet.Server) (*relay.Settings, bool) {
 			return server.AgentSettings(of, settings.VM, settings.Bounds.ColdFactor, settings.Bounds.ColdExtra)
