Show that a withdrawn key works again after a restore and a restart

Cause: an entry that starts after the store was restored from a copy takes the earlier configuration for the newest. Agents and other entries know a newer version, but nothing tells it.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -26,7 +26,8 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(l *lab) (verdict, error){
-	"twice": repeatedTurn,
+	"twice":   repeatedTurn,
+	"restore": restoredKey,
 }
 
 func main() {
