Show that one server's endless bytes end the entries

Cause: the splitter of events keeps all bytes up to a blank line without a limit. The limit of an event is applied only to responses whose head says text/event-stream.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(l *lab) (verdict, error){
 	"twice":   repeatedTurn,
 	"restore": restoredKey,
+	"endless": endlessBytes,
 }
 
 func main() {
