Show that a bad prompt part ends servers for ever after one event

Cause: the end of a server counts against a prompt part only if the head of the response was sent and no whole event. After one event it is not reported, and the part is recorded as sound.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -29,6 +29,7 @@
 	"twice":   repeatedTurn,
 	"restore": restoredKey,
 	"endless": endlessBytes,
+	"part":    crashingPart,
 }
 
 func main() {
