Show that an evacuation right after a restore of the store is lost

Cause: the first read after a restore drops all evacuations, also one that was written since the store is back.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -26,10 +26,11 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(l *lab) (verdict, error){
-	"twice":   repeatedTurn,
-	"restore": restoredKey,
-	"endless": endlessBytes,
-	"part":    crashingPart,
+	"twice":    repeatedTurn,
+	"restore":  restoredKey,
+	"endless":  endlessBytes,
+	"part":     crashingPart,
+	"evacuate": lostEvacuation,
 }
 
 func main() {
