--- a/review/lab/case_endless.go
+++ b/review/lab/case_endless.go
@@ -151,7 +151,7 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 
-			used := rss(p.cmd.Process.Pid)
+			used := memoryOf(p.cmd.Process.Pid)
 			seen.peak = max(seen.peak, used)
 
 			if used <= memoryLimit {
@@ -172,15 +172,15 @@
 	return done
 }
 
-// rss returns the resident memory of a process in MB; 0 if it has ended.
-func rss(pid int) int {
+// memoryOf returns the resident memory of a process in MB, without that of files; 0 if it has ended.
+func memoryOf(pid int) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 
 	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
 			return kb / 1024
 		}
