End the processes of a case that is interrupted

Cause: a case that was stopped by a signal left its processes behind.

Change: SIGINT, SIGTERM and SIGHUP end a case like its time limit does.

--- a/review/lab/cluster.go
+++ b/review/lab/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -35,6 +37,10 @@
 	subnet string
 	store  *store
 	procs  map[string]*proc
+
+	mu sync.Mutex
+	// closed is true once the processes are ended; no more are started then.
+	closed bool
 }
 
 // proc is a process of the project's programs.
@@ -176,7 +182,10 @@
 	}
 
 	p := &proc{name: name, args: args, settings: path}
+
+	c.mu.Lock()
 	c.procs[name] = p
+	c.mu.Unlock()
 
 	return c.launch(p)
 }
@@ -190,6 +199,13 @@
 
 	defer log.Close()
 
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.closed {
+		return errors.New("the case has ended")
+	}
+
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	p.cmd.Dir = c.root
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHESTNUTBEAM_SETTINGS=" + p.settings}
@@ -221,9 +237,16 @@
 
 // close ends all processes. With a variable KEEP, the folder with their output stays.
 func (c *cluster) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.closed = true
+
 	for _, p := range c.procs {
-		_ = p.cmd.Process.Kill()
-		<-p.done
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
 	}
 
 	if os.Getenv("KEEP") == "" {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,14 @@
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
+// interrupts returns the signals that end a case early, so that its processes are ended too.
+func interrupts() <-chan os.Signal {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+
+	return received
+}
+
 func play(name, path string) int {
 	rec := newRecord()
 
@@ -74,6 +84,8 @@
 	case got = <-done:
 	case <-time.After(maxTime):
 		got.err = fmt.Errorf("not done after %s", maxTime)
+	case received := <-interrupts():
+		got.err = fmt.Errorf("ended by %s", received)
 	}
 
 	if got.err != nil {
