Tell rows written since a restore of the store from rows of its copy

Cause: dropOutdated took each evacuation in the first read after a restore for a row of the copy. One that was written between the return of the store and that read was dropped for good, since the feed of changes starts after the read.

Ruled out: that the row's version passes for one that was read before (it fails with versions above and below the last one read), and that the restore is not noticed (servers listed since it are known).

Change: rows carry their version, and the watcher remembers the latest versions of each row. A version that it has read before is of the copy, any other was written since. An evacuation known to have ended, which comes back with a version read before, counts only after 2 s, since versions are given out again. The same cause on related paths: an evacuation taken back before the first read stayed for ever and ends after 30 s now, and a server that had left and registered anew before that read is used.

TestOutdatedRowsAfterAStoreRestore had an evacuation "that had ended" without this process having read of it, which nothing tells from a new one; it is begun and ended before the restore now, and the rest is as it was.

--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -47,8 +47,8 @@
 	removeAt map[string]time.Time
 	// left holds the servers that were removed within leftRetention.
 	left map[string]departure
-	// evacuated holds the failure domains whose servers get no requests.
-	evacuated map[string]bool
+	// evacuations holds the evacuations by failure domain.
+	evacuations map[string]Evacuation
 	// synced is true once the list was read.
 	synced bool
 }
@@ -130,6 +130,17 @@
 	return ok && old.startedAt == server.StartedAt
 }
 
+// Remembers reports whether a server is listed or was removed within the last ten minutes.
+func (f *Fleet) Remembers(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	_, listed := f.servers[id]
+	_, left := f.left[id]
+
+	return listed || left
+}
+
 // Retain removes all servers except the listed ones, and reports whether there were others.
 func (f *Fleet) Retain(now time.Time, listed map[string]bool, at time.Time) bool {
 	changed := false
@@ -143,14 +154,21 @@
 	return changed
 }
 
-// Evacuate sets the failure domains whose servers get no requests.
-func (f *Fleet) Evacuate(domains map[string]bool) {
+// Evacuate sets the evacuations by failure domain. The map must not be changed afterwards.
+func (f *Fleet) Evacuate(evacuations map[string]Evacuation) {
 	f.mu.Lock()
-	f.evacuated = domains
+	f.evacuations = evacuations
 	f.mu.Unlock()
 	f.notify()
 }
 
+// evacuated reports whether the servers of a failure domain get no requests. The lock must be held.
+func (f *Fleet) evacuated(now time.Time, domain string) bool {
+	evacuation, ok := f.evacuations[domain]
+
+	return ok && evacuation.Active(now)
+}
+
 // Usable returns the servers of a service that may receive requests.
 func (f *Fleet) Usable(now time.Time, service string) []Server {
 	f.mu.Lock()
@@ -159,7 +177,7 @@
 	var usable []Server
 
 	for id, server := range f.servers {
-		if server.Service != service || server.Draining || f.evacuated[server.Domain] {
+		if server.Service != service || server.Draining || f.evacuated(now, server.Domain) {
 			continue
 		}
 
@@ -182,7 +200,7 @@
 
 	server, ok := f.servers[id]
 
-	return server, ok && !server.Draining && !f.evacuated[server.Domain]
+	return server, ok && !server.Draining && !f.evacuated(time.Now(), server.Domain)
 }
 
 // Find returns a listed server, whether it may receive requests or not; false if it is not listed.
--- a/internal/forward/fleet/fleet_test.go
+++ b/internal/forward/fleet/fleet_test.go
@@ -19,9 +19,9 @@
 	}{
 		"listed":           {func(*fleet.Fleet) {}, 0, 2},
 		"one is draining":  {func(f *fleet.Fleet) { f.Put(fleet.Server{ID: "a", Service: "s", Domain: "d1", Draining: true}) }, 0, 1},
-		"domain evacuated": {func(f *fleet.Fleet) { f.Evacuate(map[string]bool{"d1": true}) }, 0, 1},
+		"domain evacuated": {func(f *fleet.Fleet) { f.Evacuate(map[string]fleet.Evacuation{"d1": {}}) }, 0, 1},
 		"evacuation ended": {func(f *fleet.Fleet) {
-			f.Evacuate(map[string]bool{"d1": true})
+			f.Evacuate(map[string]fleet.Evacuation{"d1": {}})
 			f.Evacuate(nil)
 		}, 0, 2},
 		"removed":         {func(f *fleet.Fleet) { f.Remove(now, "a", now) }, 0, 1},
--- a/internal/forward/watch/source.go
+++ b/internal/forward/watch/source.go
@@ -61,6 +61,8 @@
 // ServerListed is a backend server in the list.
 type ServerListed struct {
 	Server fleet.Server
+	// Version is that of the row.
+	Version int64
 }
 
 // ServerRemoved is a backend server that is no longer in the list, or whose row describes no usable server.
@@ -78,6 +80,8 @@
 	Domain string
 	// Active is true if the failure domain is to get no requests.
 	Active bool
+	// Version is that of the row.
+	Version int64
 }
 
 // AdapterAnnounced is a new version of an adapter.
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -58,7 +58,9 @@
 	// version is the store's newest version at the last read, and era that of the store; both are set if read is true.
 	version, era int64
 	read         bool
-	evacuated    map[string]bool
+	evacuations  evacuations
+	// seen holds the versions of the rows of servers that were read.
+	seen seenVersions
 	// unavailable is true if the last call failed.
 	unavailable bool
 	backoff     time.Duration
@@ -67,6 +69,7 @@
 // Run watches the topic until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	full := true
+	w.seen = seenVersions{}
 
 	for ctx.Err() == nil {
 		if !full && !w.unavailable {
@@ -199,39 +202,28 @@
 
 // apply applies what was read and reports whether anything has changed.
 func (w *Watcher) apply(batch Batch, full bool) bool {
-	changed := w.Topic == Operator && len(batch.Items) > 0
 	now := time.Now()
-	removeAt := w.removeAt(now)
-	listed := map[string]bool{}
-	evacuated := maps.Clone(w.evacuated)
-
 	restored := full && w.read && batch.Era != w.era
-	if restored {
-		batch.Items = dropOutdated(batch.Items, w.Fleet)
-		removeAt = now.Add(removalDelay)
-	}
 
-	if full && !restored || evacuated == nil {
-		evacuated = map[string]bool{}
+	if w.Topic == Operator {
+		return w.applyOperator(now, batch, full, restored)
 	}
 
+	return w.applyServers(now, batch, full, restored)
+}
+
+func (w *Watcher) applyOperator(now time.Time, batch Batch, full, restored bool) bool {
+	var rows []EvacuationChanged
+
 	for _, item := range batch.Items {
 		switch i := item.(type) {
-		case ServerListed:
-			listed[i.Server.ID] = true
-			changed = w.Fleet.Put(i.Server) || changed
-		case ServerRemoved:
-			changed = w.Fleet.Remove(now, i.ID, removeAt) || changed
+		case ServerListed, ServerRemoved:
 		case ConfigChanged:
 			if w.Target.Apply(i.Config) {
 				w.Log.WithField("config", i.Config.Version).Info("configuration in force")
 			}
 		case EvacuationChanged:
-			if i.Active {
-				evacuated[i.Domain] = true
-			} else {
-				delete(evacuated, i.Domain)
-			}
+			rows = append(rows, i)
 		case AdapterAnnounced:
 			w.Target.RequireVersion(i.Model, i.Adapter, i.Version)
 		case UnreadableRow:
@@ -239,15 +231,79 @@
 		}
 	}
 
-	if w.Topic == Operator && !maps.Equal(evacuated, w.evacuated) {
-		w.Log.WithField("domains", evacuated).Info("evacuated failure domains")
-		w.evacuated = evacuated
-		w.Fleet.Evacuate(evacuated)
+	w.applyEvacuations(now, rows, full, restored)
+
+	return len(batch.Items) > 0
+}
+
+func (w *Watcher) applyEvacuations(now time.Time, rows []EvacuationChanged, full, restored bool) {
+	before := w.evacuations.active
+
+	if full {
+		w.evacuations.list(now, rows, restored)
+	} else {
+		for _, row := range rows {
+			w.evacuations.change(now, row)
+		}
+	}
+
+	if maps.Equal(before, w.evacuations.active) {
+		return
+	}
+
+	w.Log.WithFields(logrus.Fields{"domains": w.evacuations.describe(now), "restored": restored}).Info("evacuated failure domains")
+	w.Fleet.Evacuate(w.evacuations.active)
+}
+
+func (w *Watcher) applyServers(now time.Time, batch Batch, full, restored bool) bool {
+	removeAt := w.removeAt(now)
+	if restored {
+		removeAt = now.Add(removalDelay)
+	}
+
+	changed := false
+	listed := map[string]bool{}
+
+	for _, row := range w.currentServers(batch, restored) {
+		listed[row.Server.ID] = true
+		changed = w.Fleet.Put(row.Server) || changed
+	}
+
+	for _, item := range batch.Items {
+		if removed, ok := item.(ServerRemoved); ok {
+			changed = w.Fleet.Remove(now, removed.ID, removeAt) || changed
+		}
 	}
 
-	if full && w.Topic == Servers {
+	if full {
 		changed = w.Fleet.Retain(now, listed, removeAt) || changed
+		w.seen.retain(w.Fleet.Remembers)
 	}
 
 	return changed
 }
+
+// currentServers returns the rows of servers in a batch, after a restore of the store without the outdated ones, and remembers their
+// versions.
+func (w *Watcher) currentServers(batch Batch, restored bool) []ServerListed {
+	var rows []ServerListed
+
+	for _, item := range batch.Items {
+		if row, ok := item.(ServerListed); ok {
+			rows = append(rows, row)
+		}
+	}
+
+	current := rows
+	if restored {
+		current = dropOutdated(rows, w.Fleet, w.seen)
+		w.Log.WithFields(logrus.Fields{"era": batch.Era, "previous": w.era, "listed": len(rows), "outdated": len(rows) - len(current)}).
+			Info("servers listed after a restore of the store")
+	}
+
+	for _, row := range rows {
+		w.seen.record(row.Server.ID, row.Version)
+	}
+
+	return current
+}
--- a/internal/forward/watch/watch_test.go
+++ b/internal/forward/watch/watch_test.go
@@ -289,19 +289,23 @@
 	t.Run("operator", func(t *testing.T) {
 		run(t, watch.Operator, time.Second, 0, func(f *fixture) {
 			f.fleet.Put(fleet.Server{ID: "d", Service: "s", Domain: "d"}, fleet.Server{ID: "e", Service: "s", Domain: "e"})
+			f.source.put(watch.EvacuationChanged{Domain: "e", Active: true, Version: 2})
+			time.Sleep(2 * time.Second)
 			f.source.put(
-				watch.EvacuationChanged{Domain: "d", Active: true}, watch.ConfigChanged{Config: &catalog.Config{Version: 7}},
+				watch.EvacuationChanged{Domain: "d", Active: true, Version: 3}, watch.ConfigChanged{Config: &catalog.Config{Version: 7}},
+				watch.EvacuationChanged{Domain: "e", Version: 5},
 			)
 			time.Sleep(2 * time.Second)
 
-			restore(f, watch.EvacuationChanged{Domain: "e", Active: true}, watch.ConfigChanged{Config: &catalog.Config{Version: 6}})
+			restore(f, watch.EvacuationChanged{Domain: "e", Active: true, Version: 2}, watch.ConfigChanged{Config: &catalog.Config{Version: 6}})
 			assert.Assert(t, !usable(f, "d"), "the evacuation began after the copy was made")
 			assert.Assert(t, usable(f, "e"), "the evacuation had ended")
 			assert.Equal(t, f.target.version, int64(7))
 
-			f.source.put(watch.EvacuationChanged{Domain: "d"})
+			f.source.put(watch.EvacuationChanged{Domain: "d"}, watch.EvacuationChanged{Domain: "e"})
 			time.Sleep(1500 * time.Millisecond)
 			assert.Assert(t, usable(f, "d"), "the end of the evacuation was written anew")
+			assert.Assert(t, usable(f, "e"), "the end of the evacuation was written anew")
 		})
 	})
 }
