Never match a late copy of a response to another send of its request

Cause: responses were told apart by the id of the request alone, which all its sends share, and a connection was kept after a refusal. A late copy of the 421 passed for the response to the second send.

Change: a connection remembers the requests whose responses let them be sent once more, and does not carry them again until their deadlines. A response without an id counts only as the first one of a connection, which is closed after it; later it is an unknown outcome, at once. Notices, limits and loads count only in a response to the request, and not in a 421.

Weighed: closing each connection after a refusal costs a new one for each; this costs one only if all idle ones to an address carried the request.

--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -57,7 +57,7 @@
 // Exchange sends the request once and returns Completed, Refused or Failed; all other events go to emit. The ResponseInfo is
 // nil if no connection was made.
 func (c *Client) Exchange(ctx context.Context, address string, delivery *message.Delivery, emit Emit) (message.Event, *ResponseInfo) {
-	ready, err := c.acquire(ctx, address)
+	ready, err := c.acquire(ctx, address, delivery.ID)
 	if err != nil {
 		return message.Refused{Err: fault.Wrap(err, fault.NoServer, "backend server cannot be reached")}, nil
 	}
@@ -66,7 +66,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = ready.Close() })
 	event, reuse := x.run()
 
-	if stop() && reuse {
+	if stop() && reuse && x.settled() {
 		c.release(address, ready, x.info.IdleTimeout)
 	} else {
 		_ = ready.Close()
@@ -75,10 +75,10 @@
 	return event, &x.info
 }
 
-// acquire returns an idle connection that can be reused, or a new one.
-func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns an idle connection that can be reused and has not carried the request, or a new one.
+func (c *Client) acquire(ctx context.Context, address, id string) (*conn, error) {
 	for {
-		kept, ok := c.idle.pop(address)
+		kept, ok := c.idle.pop(address, func(kept *conn) bool { return !kept.carried.has(id) })
 		if !ok {
 			break
 		}
--- a/internal/forward/upstream/conn.go
+++ b/internal/forward/upstream/conn.go
@@ -36,12 +36,16 @@
 	head *headLimiter
 	// expires is when the idle connection may no longer be reused.
 	expires time.Time
+	// used is true once a response was received.
+	used bool
+	// carried holds the requests sent here that may be sent once more.
+	carried carriedRequests
 }
 
 func newConn(raw net.Conn) *conn {
 	head := &headLimiter{from: raw}
 
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, carried: carriedRequests{}}
 }
 
 // reusable reports whether an idle connection has not expired, and the peer has neither closed it nor sent bytes, which would
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -16,8 +16,13 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 )
 
+// errNoID is returned for a response without an id on a connection that had responses before: it may be a late copy of one of them, or
+// bytes that belong to no request, so that it does not show whether the request was run.
+var errNoID = errors.New("response without an id on a connection that had responses before")
+
 // exchange is the state of one request and its response.
 type exchange struct {
 	client   *Client
@@ -158,6 +163,20 @@
 	into.WriteString("\r\n")
 }
 
+// settled reports whether no late copy of the response can pass for the response to another request on the connection. A response without
+// an id would pass for any; one with the id of the request would pass for a second send of the same request, which then takes another
+// connection. A request whose response is a success is not sent again.
+func (x *exchange) settled() bool {
+	switch {
+	case x.info.ID == "":
+		return false
+	case x.info.OK():
+		return true
+	default:
+		return x.conn.carried.add(time.Now(), x.delivery.ID, x.delivery.Deadline)
+	}
+}
+
 // readHead reads response heads until one belongs to the request, since a late response to an earlier request may come first.
 func (x *exchange) readHead() (*http.Response, error) {
 	request := &http.Request{Method: x.delivery.Method}
@@ -176,12 +195,18 @@
 
 		x.conn.head.stop()
 
-		x.info = x.client.Codec.Decode(response.StatusCode, response.Header)
-		x.info.Framing = framing.Of(response)
-		x.passNotice()
+		info := x.client.Codec.Decode(response.StatusCode, response.Header)
+		first := !x.conn.used
+		x.conn.used = true
 
-		if x.info.ID == x.delivery.ID || x.info.ID == "" && !x.info.OK() {
-			x.passLimit()
+		anonymous := info.ID == "" && !info.OK()
+
+		if anonymous && !first {
+			return nil, errNoID
+		}
+
+		if anonymous || info.ID == x.delivery.ID {
+			x.accept(info, framing.Of(response))
 
 			return response, nil
 		}
@@ -194,9 +219,23 @@
 	return nil, errors.New("only responses to other requests received")
 }
 
-// passNotice passes the notice of the response to the client's receiver, unless another server has the address.
+// accept records a response as that to the request. What another server at the address states is not what this one states.
+func (x *exchange) accept(info ResponseInfo, kind framing.Kind) {
+	x.info = info
+	x.info.Framing = kind
+
+	if info.Misdirected {
+		x.info.Notice, x.info.Limit, x.info.Load = notice.Notice{}, throttle.Limit{}, nil
+		return
+	}
+
+	x.passNotice()
+	x.passLimit()
+}
+
+// passNotice passes the notice of the response to the client's receiver.
 func (x *exchange) passNotice() {
-	if x.client.OnNotice != nil && !x.info.Misdirected && x.info.Notice != (notice.Notice{}) {
+	if x.client.OnNotice != nil && x.info.Notice != (notice.Notice{}) {
 		x.client.OnNotice(x.delivery.Instance, x.info.Notice)
 	}
 }
@@ -206,7 +245,7 @@
 func (x *exchange) passLimit() {
 	states := x.info.Authentic || x.info.NotRun && x.info.Limit.Named
 
-	if x.client.OnLimit != nil && !x.info.Misdirected && states {
+	if x.client.OnLimit != nil && states {
 		x.client.OnLimit(x.delivery.Instance, x.sentAt, x.info.Limit)
 	}
 }
--- a/internal/forward/upstream/pool.go
+++ b/internal/forward/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,23 +30,23 @@
 	return true
 }
 
-// pop removes and returns the latest value of a key; false if there is none.
-func (s *idlePool[K, V]) pop(key K) (V, bool) {
+// pop removes and returns the latest value of a key that fits; false if there is none.
+func (s *idlePool[K, V]) pop(key K, fits func(V) bool) (V, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	var none V
-
 	values := s.idle[key]
-	if len(values) == 0 {
-		return none, false
+
+	for i, value := range slices.Backward(values) {
+		if fits(value) {
+			s.idle[key] = slices.Delete(values, i, i+1)
+			return value, true
+		}
 	}
 
-	last := values[len(values)-1]
-	values[len(values)-1] = none
-	s.idle[key] = values[:len(values)-1]
+	var none V
 
-	return last, true
+	return none, false
 }
 
 // filter removes and returns the values for which keep is false.
