Count the end of a server against all requests that it ran

Cause: an end counted against a request and its parts only until the first event, which also recorded the parts as sound. The agents logged nothing of later ends, so that both halves of the cause show.

Ruled out: that the evidence existed and was cleared only by the begun response; without the evidence of later ends nothing is held either.

Change: all requests whose connections the end of a server breaks off are its suspects, with their digest and parts, wherever their responses stood, also before the head; a run to the end clears a part, a mere begin does not. A stream without a length or chunks that ends with its server is told by the closed port, and counts as broken off. Agents wait 50 ms until all responses have broken off. Of parts with equal counts those with the fewest suspects are held. What is sound travels as news with the next message.

TestMonitorIsBounded has 64 suspects in place of 16: a model server runs up to 64 requests, and the one at fault may be any of them. The bound is checked as exactly as before.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -79,6 +79,8 @@
 	// report; 0 before the first one.
 	monitor   quarantine.Monitor
 	startedAt int64
+	// ended is true from the end of the model server until it is recorded which responses it has broken off.
+	ended bool
 	// watchers holds the entries that watch the state.
 	watchers map[*watcher]bool
 	// notified is the state at the last urgent notification of the watchers.
--- a/internal/forward/agent/evidence.go
+++ b/internal/forward/agent/evidence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
@@ -17,13 +18,11 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// responseBroken records that the model server ended the connection of a request, sent at the given time, before it responded or at the
-// start of its response. The next report tells whether the server itself has ended.
-func (a *Agent) responseBroken(delivery *message.Delivery, sentAt time.Time, begun bool) {
-	subjects := []string{quarantine.RequestSubject(quarantine.RequestDigest(delivery.Request, delivery.Account))}
-	if begun {
-		subjects = append(subjects, delivery.SharedParts...)
-	}
+// responseBroken records that the model server ended the connection of a request, sent at the given time, before its response was known to
+// be complete. The request or one of its prompt parts may have ended the server, wherever the response stood. The next report tells whether the server itself has ended.
+func (a *Agent) responseBroken(delivery *message.Delivery, sentAt time.Time) {
+	digest := quarantine.RequestDigest(delivery.Request, delivery.Account)
+	subjects := slices.Concat([]string{quarantine.RequestSubject(digest)}, delivery.SharedParts)
 
 	a.mu.Lock()
 	a.monitor.RecordBroken(time.Now(), quarantine.Suspect{Request: delivery.ID, SentAt: sentAt, Subjects: subjects})
@@ -53,10 +52,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	sound := a.monitor.RecordSound(convert.SoundFromWire(now, settings.GetSound()))
-	held := a.monitor.RecordHolds(now, convert.HoldsFromWire(now, settings.GetHolds()))
+	version := a.monitor.Version()
+	a.monitor.RecordSound(convert.SoundFromWire(now, settings.GetSound()))
+	a.monitor.RecordHolds(now, convert.HoldsFromWire(now, settings.GetHolds()))
 
-	if sound || held {
+	// What is sound goes with the next message about the load.
+	if a.monitor.Version() != version {
 		a.notifyUrgent()
 	}
 }
@@ -75,11 +76,22 @@
 	// No process listens any more. A call that is reset or times out does not show that the server has ended.
 	closed := errors.Is(err, syscall.ECONNREFUSED)
 
-	if !restarted && !closed {
+	if restarted || closed {
+		a.scheduler.BlockLoading(time.Now())
+
+		a.ended = true
+	}
+
+	if !a.ended {
+		return
+	}
+
+	if wait := a.monitor.UntilEndComplete(time.Now()); wait > 0 {
+		time.AfterFunc(wait, a.wakeControl)
 		return
 	}
 
-	a.scheduler.BlockLoading(time.Now())
+	a.ended = false
 
 	crash, ok := a.monitor.RecordEnd(time.Now(), ident.New("crash"))
 	if !ok {
@@ -88,13 +100,22 @@
 
 	metric.Count(a.Metrics, "server.ended")
 
+	a.logCrash(&crash)
+
+	a.notifyUrgent()
+}
+
+// logCrash logs the end of the model server with its suspects. An order to load an adapter has no request.
+func (a *Agent) logCrash(crash *quarantine.Crash) {
+	requests := make([]string, 0, len(crash.Suspects))
+	subjects := make([][]string, 0, len(crash.Suspects))
+
 	for _, suspect := range crash.Suspects {
-		// An order to load an adapter has no request.
-		a.Log.WithField("crash", crash.ID).WithField("request", suspect.Request).WithField("subjects", suspect.Subjects).
-			Info("server ended under a request")
+		requests = append(requests, suspect.Request)
+		subjects = append(subjects, suspect.Subjects)
 	}
 
-	a.notifyUrgent()
+	a.Log.WithFields(logrus.Fields{"crash": crash.ID, "requests": requests, "subjects": subjects}).Info("server ended under requests")
 }
 
 // holdsAdapter reports whether the model server holds the adapter with a subject.
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -100,8 +100,8 @@
 		waited: started.Sub(arrived), timeToFirst: timeToFirst, took: time.Since(started), info: info, last: last,
 	})
 
-	if info != nil && (info.EndedBeforeHead || info.EndedAtStart) {
-		a.responseBroken(delivery, started, info.EndedAtStart)
+	if info != nil && info.Ended() {
+		a.responseBroken(delivery, started)
 	}
 
 	return sender.emit(last)
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -42,8 +42,11 @@
 		wire.Servers = convert.ConfirmationToWire(confirmation, &w.peer)
 	}
 
-	if !unchanged.Evidence {
-		now := time.Now()
+	now := time.Now()
+
+	if unchanged.Evidence {
+		wire.Sound = convert.SoundToWire(now, a.monitor.SoundSince(unchanged.Sound))
+	} else {
 		evidence := a.monitor.Evidence(now)
 		wire.Crashes = convert.CrashesToWire(now, evidence.Crashes)
 		wire.Holds = convert.HoldsToWire(now, evidence.Holds)
@@ -51,7 +54,7 @@
 	}
 
 	if !unchanged.Limits {
-		wire.Limits = convert.StatementsToWire(time.Now(), a.limits.Statements())
+		wire.Limits = convert.StatementsToWire(now, a.limits.Statements())
 	}
 
 	if unchanged.Holdings {
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -162,7 +162,7 @@
 	a.mu.Lock()
 	state := a.scheduler.State(now)
 	latest, _ := a.operator.Get()
-	content := publish.Content{State: state, Operator: latest.Newest, Evidence: a.monitor.Version(), Limits: a.limits.Version()}
+	content := publish.Content{State: state, Operator: latest.Newest, Evidence: a.monitor.Version(), Sound: a.monitor.SoundVersion(), Limits: a.limits.Version()}
 
 	if wait := publisher.Wait(now, content, len(a.watchers)); wait > 0 {
 		a.mu.Unlock()
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -37,9 +37,9 @@
 	clientDisconnected bool
 	// tried is the subject in quarantine that this request tries; empty for none.
 	tried string
-	// brokenAtStart is true if the last server sent the head of a response and nothing of its body.
-	brokenAtStart bool
-	// crash is the end of the last server, of a plain service, before it responded; nil if it has not ended.
+	// broken is true if the last server sent the head of a successful response; it is read only if that one did not complete.
+	broken bool
+	// crash is the end of the last server, of a plain service, before its response was complete; nil if it has not ended.
 	crash *quarantine.Crash
 	// runs counts the servers at which the request may have run.
 	runs int
--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -93,42 +93,45 @@
 	return q.Tracker.Holds()
 }
 
-// KnownSound implements link.Quarantine.
-func (q *Quarantine) KnownSound(subjects []string) []quarantine.Sound {
+// SoundNews implements link.Quarantine.
+func (q *Quarantine) SoundNews(subjects []string, told map[string]time.Time) []quarantine.Sound {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	return q.Tracker.KnownSound(subjects)
+	return q.Tracker.SoundNews(subjects, told)
 }
 
-// recordBegun records that a response to a request has begun: its parts are sound, and its adapter is loaded.
-func (q *Quarantine) recordBegun(j *job) {
-	q.recordParts(j.request.ID, j.sharedParts)
-
+// recordLoaded records that a response to a request has begun, so that its adapter is loaded.
+func (q *Quarantine) recordLoaded(j *job) {
 	if j.request.Adapter != "" && q.hasEvidence() {
 		q.recordSound(j.request.ID, []string{j.adapterSubject()})
 	}
 }
 
-// recordParts records that a response to a request with the parts has begun.
+// recordParts records that a server has run a request with the parts to its end.
 func (q *Quarantine) recordParts(request string, parts []string) {
 	if len(parts) == 0 {
 		return
 	}
 
 	q.mu.Lock()
-	fresh := q.Tracker.HasEvidence() && len(q.Tracker.KnownSound(parts)) < len(parts)
+	news := q.Tracker.HasEvidence() && len(q.Tracker.KnownSound(parts)) < len(parts) || slices.ContainsFunc(parts, q.Tracker.Suspected)
 	released := q.Tracker.RecordSound(time.Now(), parts)
 	q.logReleased(released, "request", request)
 	q.mu.Unlock()
 
-	if (fresh || len(released) > 0) && q.OnSound != nil {
+	if (news || len(released) > 0) && q.OnSound != nil {
 		q.OnSound(parts)
 	}
 }
 
-// recordRun records that a server has run a request to its end.
-func (q *Quarantine) recordRun(j *job) {
+// recordRun records that a server has run a request to its end. Its parts are sound if the response was a success with a body: a part may
+// end servers at any point of it.
+func (q *Quarantine) recordRun(j *job, success bool) {
+	if success {
+		q.recordParts(j.request.ID, j.sharedParts)
+	}
+
 	if q.hasEvidence() {
 		q.recordSound(j.request.ID, j.ownSubjects())
 	}
@@ -217,7 +220,7 @@
 		return false
 	}
 
-	if !j.brokenAtStart {
+	if !j.broken {
 		return true
 	}
 
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -183,11 +183,11 @@
 
 	checkRefused(j, response.status, last)
 
-	j.brokenAtStart = response.status == http.StatusOK && !response.begun
+	j.broken = response.status == http.StatusOK
 
 	if _, ended := last.(message.Completed); ended {
 		e.health.recordSuccess(server.ID)
-		e.Quarantine.recordRun(j)
+		e.Quarantine.recordRun(j, response.begun)
 
 		return response.finish()
 	}
@@ -260,7 +260,7 @@
 
 	if !r.begun && r.status == http.StatusOK {
 		r.begun = true
-		r.entry.Quarantine.recordBegun(r.job)
+		r.entry.Quarantine.recordLoaded(r.job)
 	}
 
 	if r.job.timeToFirst == 0 {
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -46,7 +46,7 @@
 	}
 
 	j.crash = nil
-	if info != nil && (info.EndedBeforeHead || info.EndedAtStart) {
+	if info != nil && info.Ended() {
 		j.crash = e.crashOf(ctx, j, server, sentAt)
 	}
 
--- a/internal/forward/link/evidence.go
+++ b/internal/forward/link/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,17 +21,24 @@
 	ReceiveEvidence(server string, evidence quarantine.Evidence)
 	// Holds returns what this entry holds, and a number that changes whenever a hold begins or is prolonged.
 	Holds() ([]quarantine.Hold, int)
-	// KnownSound returns what this entry knows of sound ones among the subjects.
-	KnownSound(subjects []string) []quarantine.Sound
+	// SoundNews returns what this entry knows of sound ones among the subjects and an agent does not, which was told what is in told,
+	// and adds it there.
+	SoundNews(subjects []string, told map[string]time.Time) []quarantine.Sound
 }
 
 // receiveEvidence passes on new evidence in a state, and has the agent told which of its suspects are sound.
 func (l *Links) receiveEvidence(agent *link, state *relay.State) {
-	if l.Quarantine == nil || state.GetEvidenceUnchanged() || len(state.GetCrashes())+len(state.GetHolds()) == 0 {
+	if l.Quarantine == nil || len(state.GetCrashes())+len(state.GetHolds())+len(state.GetSound()) == 0 {
 		return
 	}
 
 	now := time.Now()
+
+	if state.GetEvidenceUnchanged() {
+		l.Quarantine.ReceiveEvidence(agent.id, quarantine.Evidence{Sound: convert.SoundFromWire(now, state.GetSound())})
+		return
+	}
+
 	evidence := quarantine.Evidence{
 		Crashes: convert.CrashesFromWire(now, state.GetCrashes()), Holds: convert.HoldsFromWire(now, state.GetHolds()), Sound: convert.SoundFromWire(now, state.GetSound()),
 	}
@@ -104,8 +112,8 @@
 	}
 }
 
-// soundSuspects returns what this entry knows to be sound of what the agent suspects.
-func (l *Links) soundSuspects(agent *link) []*relay.Sound {
+// soundSuspects returns what this entry knows to be sound of what the agent suspects, and was not told the agent on the stream.
+func (l *Links) soundSuspects(agent *link, stream *settingsStream) []*relay.Sound {
 	l.mu.Lock()
 	suspects := agent.suspects
 	l.mu.Unlock()
@@ -114,7 +122,9 @@
 		return nil
 	}
 
-	return convert.SoundToWire(time.Now(), l.Quarantine.KnownSound(suspects))
+	maps.DeleteFunc(stream.soundTold, func(id string, _ time.Time) bool { return !slices.Contains(suspects, id) })
+
+	return convert.SoundToWire(time.Now(), l.Quarantine.SoundNews(suspects, stream.soundTold))
 }
 
 // holdsToSend returns the holds of this entry if one has begun since they were sent on the stream.
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -281,7 +281,7 @@
 	peer := &freshness.PeerClock{}
 	clockKnown := make(chan struct{})
 
-	go l.sendSettings(ctx, agent, &settingsStream{DRPCRelay_WatchClient: stream, peer: peer, clockKnown: clockKnown})
+	go l.sendSettings(ctx, agent, &settingsStream{DRPCRelay_WatchClient: stream, peer: peer, clockKnown: clockKnown, soundTold: map[string]time.Time{}})
 
 	for first := true; ; first = false {
 		state, err := stream.Recv()
--- a/internal/forward/link/settings.go
+++ b/internal/forward/link/settings.go
@@ -24,6 +24,8 @@
 	sent    bool
 	// holdsVersion is that of the holds sent last; 0 before the first one.
 	holdsVersion int
+	// soundTold holds when the suspects of the agent were sound, as far as it was told on the stream.
+	soundTold map[string]time.Time
 }
 
 // sendSettings sends the settings to the agent: once at the start, after each change, and at least every settingsPeriod.
@@ -61,7 +63,7 @@
 	settings.Entries = int32(l.EntryCount())
 	settings.Operator = publication(l.Operator, stream.peer)
 	settings.Servers = publication(l.Servers, stream.peer)
-	settings.Sound = l.soundSuspects(agent)
+	settings.Sound = l.soundSuspects(agent, stream)
 	settings.Holds = l.holdsToSend(stream)
 	stream.version, stream.sent = settings.GetConfigVersion(), true
 
--- a/internal/forward/publish/publish.go
+++ b/internal/forward/publish/publish.go
@@ -32,8 +32,9 @@
 	State schedule.State
 	// Operator is the newest change of the operator's configuration that an entry has published.
 	Operator progress.Mark
-	// Evidence is the version of what is known of the ends of the server.
-	Evidence int
+	// Evidence is the version of what is known of the ends of the server, and Sound that of what shows their suspects to be sound. The
+	// latter changes often after an end, and is sent with the next message.
+	Evidence, Sound int
 	// Limits is the version of the limits of servers of plain services.
 	Limits int
 }
@@ -85,6 +86,8 @@
 	Holdings bool
 	Evidence bool
 	Limits   bool
+	// Sound is the version of Content.Sound in the previous message; only what has changed since is sent.
+	Sound int
 }
 
 // Record records that the content is sent, and returns what it has in common with the previous message.
@@ -93,6 +96,7 @@
 		Holdings: p.sent && sameHoldings(&content.State, &p.last.State),
 		Evidence: p.sent && content.Evidence == p.last.Evidence,
 		Limits:   p.sent && content.Limits == p.last.Limits,
+		Sound:    p.last.Sound,
 	}
 	p.last, p.sentAt, p.sent = content, now, true
 
--- a/internal/forward/quarantine/admit.go
+++ b/internal/forward/quarantine/admit.go
@@ -54,8 +54,8 @@
 			continue
 		}
 
-		for _, crash := range t.crashes {
-			if blames(&crash, id, request) {
+		for _, crash := range t.naming[id] {
+			if blames(&crash.Crash, id, request) {
 				return false
 			}
 		}
--- a/internal/forward/quarantine/bench_test.go
+++ b/internal/forward/quarantine/bench_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// BenchmarkCrashOfBusyServer measures what the end of a server with as many suspects as are named costs.
+func BenchmarkCrashOfBusyServer(b *testing.B) {
+	tracker := newTracker()
+	b.ReportAllocs()
+
+	for i := 0; b.Loop(); i++ {
+		crash := quarantine.Crash{ID: fmt.Sprint("c", i), At: at(i * 300)}
+		for j := range 64 {
+			request := fmt.Sprint(i, "-", j)
+			crash.Suspects = append(crash.Suspects, suspect(request, quarantine.RequestSubject(request), "all", fmt.Sprint("p", j%20)))
+		}
+
+		tracker.RecordSound(at(i*300), []string{"all"})
+		tracker.RecordCrash(at(i*300), crash)
+	}
+}
+
 // BenchmarkDigest measures the digest of a request with a body of 3 KB.
 func BenchmarkDigest(b *testing.B) {
 	request := &message.Request{Method: "POST", Host: "h", Target: "/a", Body: make([]byte, 3<<10)}
--- a/internal/forward/quarantine/crash.go
+++ b/internal/forward/quarantine/crash.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Crash is an end of a backend server that ran requests to which it had not responded yet, or had just begun to, or loaded adapters.
+// Crash is an end of a backend server that ran requests, or loaded adapters.
 type Crash struct {
 	// ID names the crash; a crash that is reported again has the same one.
 	ID string
@@ -23,7 +23,7 @@
 	// Request is the id of the request, empty for an order, and SentAt is when it was sent to the server.
 	Request string
 	SentAt  time.Time
-	// Subjects are the adapter, or the request itself and its shared prompt parts if the response had begun; it is not empty.
+	// Subjects are the adapter, or the request itself and its shared prompt parts; it is not empty.
 	Subjects []string
 }
 
--- a/internal/forward/quarantine/holding.go
+++ b/internal/forward/quarantine/holding.go
@@ -1,14 +1,15 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// maxUnseen is the number of crashes, each under another request, that quarantine a part on which no response is known to have
-	// begun. maxSeen is that for a part that was sound before: other parts of the same requests are more likely the cause.
+	// maxUnseen is the number of crashes, each under another request, that quarantine a part on which no request is known to have run to
+	// its end. maxSeen is that for a part that was sound before: other parts of the same requests are more likely the cause.
 	maxUnseen = 3
 	maxSeen   = 5
 	// maxRepeats is the number of servers that one request, or the load of one adapter, may end before it is held: one more would leave a
@@ -47,8 +48,8 @@
 
 // prolong prolongs the holds of the subjects of a crash. A crash under a request that was on its way at the time of the quarantine does
 // not prolong them.
-func (t *Tracker) prolong(now time.Time, crash *Crash) {
-	for _, id := range crash.subjects() {
+func (t *Tracker) prolong(now time.Time, crash *trackedCrash) {
+	for _, id := range crash.all {
 		held, ok := t.holds[id]
 		if !ok || crash.At.Sub(held.Since) <= settleTime {
 			continue
@@ -62,13 +63,19 @@
 }
 
 // holdReached holds the subjects of the crash that have reached their limit, and returns them. If several of one kind
-// have, only those with the most crashes are held.
-func (t *Tracker) holdReached(now time.Time, crash *Crash) []string {
+// have, only those with the most crashes are held, and of these those with the fewest suspects: requests with what ends a server are few
+// among those that run there, since the first one ends it.
+func (t *Tracker) holdReached(now time.Time, crash *trackedCrash) []string {
 	most := map[Kind]*reached{Part: {}, Request: {}, Adapter: {}}
 
-	for _, id := range crash.subjects() {
-		if count := t.count(id); count >= t.limit(id) && !t.explained(crash, id) {
-			most[KindOf(id)].add(id, count)
+	for _, id := range crash.all {
+		limit := t.limit(id)
+		if len(t.naming[id]) < limit {
+			continue
+		}
+
+		if count := t.count(id); count >= limit && !t.explained(crash, id) {
+			most[KindOf(id)].add(id, count, t.suspects(id))
 		}
 	}
 
@@ -82,22 +89,43 @@
 	return held
 }
 
-// reached holds the subjects with the most crashes.
+// reached holds the subjects with the most crashes, and of these those with the fewest suspects.
 type reached struct {
-	most     int
-	subjects []string
+	most, suspects int
+	subjects       []string
 }
 
-func (r *reached) add(id string, count int) {
-	if count > r.most {
-		r.most, r.subjects = count, nil
-	}
+func (r *reached) add(id string, count, suspects int) {
+	better := cmp.Or(cmp.Compare(count, r.most), cmp.Compare(r.suspects, suspects))
 
-	if count == r.most {
+	switch {
+	case len(r.subjects) == 0 || better > 0:
+		r.most, r.suspects, r.subjects = count, suspects, []string{id}
+	case better == 0:
 		r.subjects = append(r.subjects, id)
 	}
 }
 
+// suspects returns the number of suspects with a subject in all crashes since it was last known to be sound.
+func (t *Tracker) suspects(id string) int {
+	since, _ := t.lastSound(id)
+	count := 0
+
+	for _, crash := range t.naming[id] {
+		if !crash.At.After(since) {
+			continue
+		}
+
+		for _, suspect := range crash.Suspects {
+			if slices.Contains(suspect.Subjects, id) {
+				count++
+			}
+		}
+	}
+
+	return count
+}
+
 // firstPeriod returns how long a subject is held before the first trial.
 func firstPeriod(id string) time.Duration {
 	if KindOf(id) == Part {
--- a/internal/forward/quarantine/monitor.go
+++ b/internal/forward/quarantine/monitor.go
@@ -9,19 +9,21 @@
 const (
 	// blameWindow is how long before the end of a server is noticed a response may have broken off to be attributed to it.
 	blameWindow = time.Second
+	// endTime is the time in which all responses of a server that has ended break off.
+	endTime = 50 * time.Millisecond
 	// loadBlameWindow is how long before the end of a server the order to load an adapter may have been sent that is attributed to it.
 	loadBlameWindow = 10 * time.Second
 	// maxCrashes is the number of crashes that a Monitor keeps, and crashRetention how long it keeps them.
 	maxCrashes     = 16
 	crashRetention = 10 * time.Minute
-	// maxSuspects is the number of suspects of one crash.
-	maxSuspects = 16
+	// maxSuspects is the number of suspects of one crash: the requests that a model server runs at the same time.
+	maxSuspects = 64
 )
 
 // Monitor recognizes, beside one model server, which requests may have caused its ends, and keeps what entries know, also of servers of
 // plain services, for those that start later. The zero value is ready to use.
 type Monitor struct {
-	// broken holds the responses that broke off at their start and are not attributed to an end of the server yet, oldest first.
+	// broken holds the responses that broke off and are not attributed to an end of the server yet, oldest first.
 	broken []brokenResponse
 	// loads holds when the orders to load the adapters were sent that the server is not known to hold yet, by their subjects.
 	loads map[string]time.Time
@@ -29,9 +31,16 @@
 	crashes []Crash
 	// holds holds the parts that entries have in quarantine, for entries that start later, and those that were released since.
 	holds map[string]Hold
-	// sound holds the parts of crashes and holds on which responses are known to have begun.
-	sound map[string]time.Time
-	// version changes with crashes, holds and sound.
+	// sound holds the subjects of crashes and holds that are known to be sound.
+	sound map[string]learnedSound
+	// version changes with crashes and holds, and soundVersion with sound.
+	version, soundVersion int
+}
+
+// learnedSound is what a Monitor knows of a sound subject.
+type learnedSound struct {
+	at time.Time
+	// version is the soundVersion of the Monitor since which this is known.
 	version int
 }
 
@@ -44,7 +53,7 @@
 type Evidence struct {
 	Crashes []Crash
 	Holds   []Hold
-	// Sound lists the parts of the crashes and holds on which responses are known to have begun.
+	// Sound lists the subjects of the crashes and holds that are known to be sound.
 	Sound []Sound
 }
 
@@ -71,13 +80,23 @@
 	return ids
 }
 
-// RecordBroken records that a response broke off before its head or its first event.
+// RecordBroken records that a response broke off, and forgets the oldest one if there are too many.
 func (m *Monitor) RecordBroken(now time.Time, suspect Suspect) {
 	m.broken = slices.DeleteFunc(m.broken, func(b brokenResponse) bool { return now.Sub(b.at) > blameWindow })
 
-	if len(suspect.Subjects) > 0 && len(m.broken) < maxSuspects {
+	if len(suspect.Subjects) > 0 {
 		m.broken = append(m.broken, brokenResponse{at: now, suspect: suspect})
+		m.broken = m.broken[max(len(m.broken)-maxSuspects, 0):]
+	}
+}
+
+// UntilEndComplete returns how long to wait until all responses that the end of the server breaks off are recorded; 0 or less if they are.
+func (m *Monitor) UntilEndComplete(now time.Time) time.Duration {
+	if len(m.broken) == 0 {
+		return 0
 	}
+
+	return endTime - now.Sub(m.broken[len(m.broken)-1].at)
 }
 
 // RecordLoad records that an order to load an adapter was sent and may be carried out.
@@ -144,7 +163,7 @@
 	m.version++
 }
 
-// RecordHolds records the holds of an entry and reports whether one of them is news. One that began before a response on the part is not.
+// RecordHolds records the holds of an entry and reports whether one of them is news. One that began before the subject was sound is not.
 func (m *Monitor) RecordHolds(now time.Time, holds []Hold) bool {
 	changed := false
 
@@ -186,30 +205,49 @@
 		blamedAt, blamed := m.blamedAt(sound.Subject)
 		last, known := m.sound[sound.Subject]
 
-		if !blamed || known && (sound.At.Before(blamedAt) || !last.Before(blamedAt)) {
+		if !blamed || known && (sound.At.Before(blamedAt) || !last.at.Before(blamedAt)) {
 			continue
 		}
 
 		if m.sound == nil {
-			m.sound = map[string]time.Time{}
+			m.sound = map[string]learnedSound{}
 		}
 
-		m.sound[sound.Subject] = sound.At
-		changed = true
-	}
+		if hold, held := m.holds[sound.Subject]; held && !m.released(&hold) && !sound.At.Before(hold.Since) {
+			m.version++
+		}
 
-	if changed {
-		m.version++
+		m.soundVersion++
+		m.sound[sound.Subject] = learnedSound{at: sound.At, version: m.soundVersion}
+		changed = true
 	}
 
 	return changed
 }
 
-// Version returns a number that changes whenever the evidence does.
+// Version returns a number that changes with the crashes and holds, also when a hold is released.
 func (m *Monitor) Version() int {
 	return m.version
 }
 
+// SoundVersion returns a number that rises with what is known of sound subjects.
+func (m *Monitor) SoundVersion() int {
+	return m.soundVersion
+}
+
+// SoundSince returns what has become known of sound subjects since a SoundVersion.
+func (m *Monitor) SoundSince(version int) []Sound {
+	var news []Sound
+
+	for id, learned := range m.sound {
+		if learned.version > version {
+			news = append(news, Sound{Subject: id, At: learned.at})
+		}
+	}
+
+	return news
+}
+
 // Evidence returns what is known of the ends of the server.
 func (m *Monitor) Evidence(now time.Time) Evidence {
 	m.dropOld(now)
@@ -222,18 +260,16 @@
 		}
 	}
 
-	for id, at := range m.sound {
-		evidence.Sound = append(evidence.Sound, Sound{Subject: id, At: at})
-	}
+	evidence.Sound = m.SoundSince(0)
 
 	return evidence
 }
 
-// released reports whether a response has begun on the part since the begin of the hold.
+// released reports whether the subject was sound since the begin of the hold.
 func (m *Monitor) released(hold *Hold) bool {
-	at, known := m.sound[hold.Subject]
+	learned, known := m.sound[hold.Subject]
 
-	return known && !at.Before(hold.Since)
+	return known && !learned.at.Before(hold.Since)
 }
 
 // blamedAt returns when a crash or a hold last raised suspicion of the part; false if none did.
--- a/internal/forward/quarantine/monitor_test.go
+++ b/internal/forward/quarantine/monitor_test.go
@@ -111,7 +111,7 @@
 
 	evidence := monitor.Evidence(at(100 * 300))
 	assert.Equal(t, len(evidence.Crashes), 16)
-	assert.Equal(t, len(evidence.Crashes[0].Suspects), 16)
+	assert.Equal(t, len(evidence.Crashes[0].Suspects), 64)
 }
 
 // Guards against a part that is held because this entry did not know of its sound beginnings, and against the release of one that ends
--- a/internal/forward/quarantine/sound.go
+++ b/internal/forward/quarantine/sound.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Sound states that a response has begun on a request with a part, or that a server has run a request to its end.
+// Sound states that a server has run a request, with its prompt parts, to its end, or that an adapter was loaded.
 type Sound struct {
 	Subject string
 	// At is when that last happened, as far as is known.
@@ -18,7 +18,7 @@
 	current, previous map[string]time.Time
 }
 
-// set records a beginning, which may be earlier than others.
+// set records that a subject was sound, which may be earlier than other times.
 func (s *soundSubjects) set(id string, at time.Time) {
 	if last, ok := s.last(id); ok && at.Before(last) {
 		at = last
@@ -35,7 +35,7 @@
 	s.current[id] = at
 }
 
-// last returns the time of the last beginning; false if none is remembered.
+// last returns when a subject was last known to be sound; false if that is not remembered.
 func (s *soundSubjects) last(id string) (time.Time, bool) {
 	if at, ok := s.current[id]; ok {
 		return at, true
--- a/internal/forward/quarantine/tracker.go
+++ b/internal/forward/quarantine/tracker.go
@@ -7,8 +7,9 @@
 	// Random returns a number from 0 to 1, by which holds are prolonged.
 	Random func() float64
 
-	// crashes holds the evidence by the id of the crash.
-	crashes map[string]Crash
+	// crashes holds the evidence by the id of the crash, and naming by each subject of its suspects.
+	crashes map[string]*trackedCrash
+	naming  map[string][]*trackedCrash
 	// blamed holds when a crash last raised suspicion of a subject.
 	blamed map[string]time.Time
 	// sound remembers sound parts, and runs requests and adapters, of which there are many more.
@@ -25,20 +26,22 @@
 	}
 
 	if t.crashes == nil {
-		t.crashes = map[string]Crash{}
+		t.crashes = map[string]*trackedCrash{}
 	}
 
 	t.dropOld(now)
-	t.crashes[crash.ID] = crash
-	t.blame(&crash)
 
-	t.prolong(now, &crash)
+	tracked := &trackedCrash{Crash: crash, all: crash.subjects()}
+	t.crashes[crash.ID] = tracked
+	t.blame(tracked)
 
-	return t.holdReached(now, &crash)
+	t.prolong(now, tracked)
+
+	return t.holdReached(now, tracked)
 }
 
-// RecordSound records that the subjects are sound: that a response has begun on a request with the parts, or that a server has run a
-// request to its end. It returns those that it releases.
+// RecordSound records that the subjects are sound: that a server has run a request with them to its end, or has loaded the adapter. A
+// response that has begun shows nothing of the parts, which may end a server at any point of it. It returns those that it releases.
 func (t *Tracker) RecordSound(now time.Time, subjects []string) []string {
 	var released []string
 
@@ -116,6 +119,24 @@
 	return known
 }
 
+// SoundNews returns what is known of sound ones among the subjects and is news to an agent, which was told what is in told, and adds it
+// there. Only the first time since a crash is news.
+func (t *Tracker) SoundNews(subjects []string, told map[string]time.Time) []Sound {
+	var news []Sound
+
+	for _, sound := range t.KnownSound(subjects) {
+		last, known := told[sound.Subject]
+		blamed := t.blamed[sound.Subject]
+
+		if !known || last.Before(blamed) && !sound.At.Before(blamed) {
+			told[sound.Subject] = sound.At
+			news = append(news, sound)
+		}
+	}
+
+	return news
+}
+
 // Held returns the number of subjects in quarantine.
 func (t *Tracker) Held() int {
 	return len(t.holds)
--- a/internal/forward/quarantine/tracker_test.go
+++ b/internal/forward/quarantine/tracker_test.go
@@ -103,6 +103,13 @@
 			steps: []step{crash(0, "1", suspect("r1", "bad"), suspect("s1", "x")), crash(400, "2", suspect("r2", "bad"), suspect("s2", "y")), crash(800, "3", suspect("r3", "bad"), suspect("s3", "x"))},
 			held:  []string{"bad"}, free: []string{"x", "y"},
 		},
+		"new parts, one with fewer suspects": {
+			steps: []step{
+				crash(0, "1", suspect("r1", "all", "bad"), suspect("s1", "all", "x")), crash(400, "2", suspect("r2", "all", "bad"), suspect("s2", "all", "y")),
+				crash(800, "3", suspect("r3", "all", "bad"), suspect("s3", "all", "x")),
+			},
+			held: []string{"bad"}, free: []string{"all", "x", "y"},
+		},
 		"released by a sound beginning": {
 			steps: []step{crash(0, "1", suspect("r1", "a")), crash(400, "2", suspect("r2", "a")), crash(800, "3", suspect("r3", "a")), sound(900, "a")},
 			free:  []string{"a"},
--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
@@ -47,6 +48,9 @@
 	// OnLimit is called with what each response of the backend server states about its limit, also if it names none, and with the time
 	// at which the request was sent. A rejection that names no limit states nothing. It may be nil.
 	OnLimit func(instance string, sentAt time.Time, limit throttle.Limit)
+	// VerifyEnds has the client open a connection after each response whose end is marked only by that of its connection, to find out
+	// whether the server has ended. Such a response counts as broken off.
+	VerifyEnds bool
 
 	idle idlePool[string, *conn]
 }
@@ -65,6 +69,7 @@
 	x := &exchange{client: c, conn: ready, delivery: delivery, emit: emit}
 	stop := context.AfterFunc(ctx, func() { _ = ready.Close() })
 	event, reuse := x.run()
+	event = c.verifyEnd(ctx, address, event, &x.info)
 
 	if stop() && reuse && x.settled() {
 		c.release(address, ready, x.info.IdleTimeout)
@@ -112,6 +117,18 @@
 	return dial(ctx, address)
 }
 
+// verifyEnd returns the outcome of an exchange, which is a failure if the response may not be complete because its server has ended.
+func (c *Client) verifyEnd(ctx context.Context, address string, outcome message.Event, info *ResponseInfo) message.Event {
+	_, completed := outcome.(message.Completed)
+	if !completed || !c.VerifyEnds || info.Framing != framing.Connection || !c.IsClosed(ctx, address) {
+		return outcome
+	}
+
+	info.EndedInBody = true
+
+	return message.Failed{Err: fault.New(fault.OutcomeUnknown, "the server ended with its response")}
+}
+
 // IsClosed opens a connection to find out whether no process listens at an address any more. It is false if the address cannot be
 // reached, or does not respond before the context ends.
 func (c *Client) IsClosed(ctx context.Context, address string) bool {
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -38,6 +38,9 @@
 	// EndedAtStart is true if the server closed the connection after the head of a successful response and before its first event,
 	// or the first byte of another body; it is set by the Client, not by the Codec.
 	EndedAtStart bool
+	// EndedInBody is true if the server closed the connection after that, and before the response was known to be complete; it is set by
+	// the Client, not by the Codec.
+	EndedInBody bool
 	// Misdirected is true if another backend server now has the address.
 	Misdirected bool
 	// Notice is what the server states about whether it takes requests.
@@ -57,6 +60,11 @@
 	Slots   int
 }
 
+// Ended reports whether the server closed the connection of the request before the response was known to be complete.
+func (r ResponseInfo) Ended() bool {
+	return r.EndedBeforeHead || r.EndedAtStart || r.EndedInBody
+}
+
 // OK reports whether the status is a success.
 func (r ResponseInfo) OK() bool {
 	return r.Head.Status >= http.StatusOK && r.Head.Status < http.StatusMultipleChoices
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -72,7 +72,9 @@
 	body := &framing.Body{Kind: x.info.Framing, EventStream: x.info.EventStream}
 
 	if err := x.forwardBody(response.Body, body); err != nil {
-		x.info.EndedAtStart = x.info.OK() && !body.Begun() && isConnectionEnd(err)
+		ended := isConnectionEnd(err)
+		x.info.EndedAtStart = ended && x.info.OK() && !body.Begun()
+		x.info.EndedInBody = ended && !x.info.EndedAtStart
 
 		return x.failed(err, "response ended early"), false
 	}
