Continue a stream only with what can follow it

A stream that broke off went on with the text of a response that is no stream of events, or with events that skip some or have no id, and ended as if it were complete.

Cause: whether a response may continue a stream was decided by its status alone.

Change: a response continues a stream if it has status 200 and the content type of events, and if its first new event has an id that is due. Anything else is a failed try, at once. The body of a withheld error is read up to 64 KB. A success that is no stream of events is not resumed.

TestRunsOfOneRequestAreBounded says for its resumable cases that a stream of events has begun, and has a case in which something else has.

--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -33,6 +33,8 @@
 	splitter      events.Splitter
 	// responseStarted is true if the response head was sent to the client.
 	responseStarted bool
+	// eventStream is true if that head was the head of a stream of events, which another server can continue.
+	eventStream bool
 	// clientDisconnected is true if the client has disconnected.
 	clientDisconnected bool
 	// tried is the subject in quarantine that this request tries; empty for none.
@@ -112,7 +114,7 @@
 	case j.runs >= j.route.MaxAttempts:
 		return false
 	case j.route.RetryPolicy == catalog.Resumable:
-		return true
+		return !j.responseStarted || j.eventStream
 	default:
 		return j.route.RetryPolicy == catalog.Idempotent && !j.responseStarted
 	}
--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -88,6 +88,7 @@
 	cases := map[string]struct {
 		policy  catalog.RetryPolicy
 		started bool
+		stream  bool
 		runs    int
 		want    bool
 	}{
@@ -96,14 +97,15 @@
 		"idempotent, twice":         {policy: catalog.Idempotent, runs: 2},
 		"idempotent, started":       {policy: catalog.Idempotent, runs: 1, started: true},
 		"resumable":                 {policy: catalog.Resumable, runs: 1, want: true},
-		"resumable, started":        {policy: catalog.Resumable, runs: 1, started: true, want: true},
-		"resumable, started, twice": {policy: catalog.Resumable, runs: 2, started: true},
+		"resumable, started":        {policy: catalog.Resumable, runs: 1, started: true, stream: true, want: true},
+		"resumable, started, twice": {policy: catalog.Resumable, runs: 2, started: true, stream: true},
+		"resumable, not a stream":   {policy: catalog.Resumable, runs: 1, started: true},
 	}
 
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			j := testJob(c.policy)
-			j.runs, j.responseStarted = c.runs, c.started
+			j.runs, j.responseStarted, j.eventStream = c.runs, c.started, c.stream
 			assert.Equal(t, j.retryable(), c.want)
 		})
 	}
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -170,7 +170,10 @@
 // send sends the request to one server, forwards the response to the client, and returns the outcome.
 func (e *Entry) send(ctx context.Context, j *job, server fleet.Server) message.Event {
 	checkSend(j, server)
-	j.splitter.Reset()
+
+	if j.responseStarted {
+		j.splitter.Resume()
+	}
 
 	response := &response{entry: e, job: j}
 
@@ -188,11 +191,9 @@
 	if _, ended := last.(message.Completed); ended {
 		e.health.recordSuccess(server.ID)
 		e.Quarantine.recordRun(j, response.begun)
-
-		return response.finish()
 	}
 
-	return last
+	return response.outcome(last)
 }
 
 // response forwards the events of the response of one server to the client.
@@ -203,10 +204,22 @@
 	status int
 	// begun is true after the first whole event, or the first byte of another body.
 	begun bool
-	// withheld is true if the response is an error that is not forwarded, because the request may be retried.
-	withheld bool
+	// withheld is true if the response is an error that is not forwarded, because the request may be retried, and withheldBytes is the
+	// number of bytes of its body so far.
+	withheld      bool
+	withheldBytes int
+	// rejected is why no more of the response is read; nil if it is read to its end.
+	rejected error
 }
 
+// maxWithheldBytes is the size of the body of an error that is read to use the connection again.
+const maxWithheldBytes = 64 << 10
+
+var (
+	errNotContinued = errors.New("the response does not continue the stream of the earlier server")
+	errErrorTooLong = errors.New("the body of an error is too long")
+)
+
 // handle handles one event; an error means that the client has disconnected.
 func (r *response) handle(event message.Event) error {
 	switch e := event.(type) {
@@ -224,8 +237,14 @@
 	r.status = head.Status
 
 	if j.responseStarted {
-		// The client has received the head of an earlier response, which an error response cannot continue.
-		r.withheld = head.Status != http.StatusOK
+		// The client has received the head of an earlier response, which only a stream of events can continue.
+		r.withheld = true
+		if !head.IsEventStream() {
+			return r.reject(errNotContinued)
+		}
+
+		r.withheld = false
+
 		return nil
 	}
 
@@ -241,17 +260,35 @@
 
 	j.responseStarted = true
 	j.status = head.Status
+	j.eventStream = head.IsEventStream()
 
 	return nil
 }
 
+// reject ends the response and returns the reason.
+func (r *response) reject(reason error) error {
+	r.rejected = reason
+
+	return reason
+}
+
 func (r *response) handleData(data []byte) error {
 	if r.withheld {
+		r.withheldBytes += len(data)
+
+		if r.withheldBytes > maxWithheldBytes {
+			return r.reject(errErrorTooLong)
+		}
+
 		return nil
 	}
 
 	if r.job.route.Stream && r.status == http.StatusOK {
 		data = r.job.splitter.Push(data)
+
+		if r.job.splitter.Misplaced() {
+			return r.reject(errNotContinued)
+		}
 	}
 
 	if len(data) == 0 {
@@ -276,6 +313,19 @@
 	return nil
 }
 
+// outcome returns the outcome of the response, given that of its exchange.
+func (r *response) outcome(last message.Event) message.Event {
+	if r.rejected != nil {
+		return message.Failed{Err: fault.Wrap(r.rejected, fault.BackendFailed, "backend server responded with status %d", r.status)}
+	}
+
+	if _, completed := last.(message.Completed); completed {
+		return r.finish()
+	}
+
+	return last
+}
+
 // finish returns the outcome of a response that was received completely.
 func (r *response) finish() message.Event {
 	if r.withheld {
--- a/internal/forward/events/splitter.go
+++ b/internal/forward/events/splitter.go
@@ -11,8 +11,25 @@
 type Splitter struct {
 	// LastID is the id of the newest event returned; events with ids up to it are left out. It is negative before the first
 	// one.
-	LastID  int64
-	pending []byte
+	LastID int64
+	// Consecutive is true while each event returned had an id, each one above the one before.
+	Consecutive bool
+	pending     []byte
+	// resumed is true from Resume to the first event that goes on from LastID, and misplaced from one that does not.
+	resumed, misplaced bool
+}
+
+// Resume discards the bytes of an incomplete event. What is pushed from now on is the stream of another server, which goes on after
+// LastID.
+func (s *Splitter) Resume() {
+	s.pending = nil
+	s.resumed, s.misplaced = s.LastID >= 0, false
+}
+
+// Misplaced reports whether the stream of another server does not go on after LastID: its first new event has no id, or a later one than
+// is due where all ids so far were consecutive. Nothing of it is returned from that event on.
+func (s *Splitter) Misplaced() bool {
+	return s.misplaced
 }
 
 // Push adds bytes of the stream and returns the events that they complete. The result is valid until the next call.
@@ -30,7 +47,7 @@
 		event := s.pending[:end]
 		s.pending = s.pending[end:]
 
-		if s.isNew(event) {
+		if s.isNew(event) && !s.misplaced {
 			complete = append(complete, event...)
 		}
 	}
@@ -41,23 +58,29 @@
 	return s.pending
 }
 
-// Reset discards the bytes of an incomplete event.
-func (s *Splitter) Reset() {
-	s.pending = nil
-}
-
 // isNew reports whether the event has no id or one above LastID, which it then updates.
 func (s *Splitter) isNew(event []byte) bool {
 	id, ok := eventID(event)
-	if !ok {
-		return true
+	if ok && id <= s.LastID {
+		return false
 	}
 
-	if id <= s.LastID {
-		return false
+	next := ok && id == s.LastID+1
+
+	if s.resumed {
+		s.misplaced = !ok || s.Consecutive && !next
+		s.resumed = false
+	}
+
+	if s.misplaced {
+		return true
 	}
 
-	s.LastID = id
+	s.Consecutive = next && (s.Consecutive || s.LastID < 0)
+
+	if ok {
+		s.LastID = id
+	}
 
 	return true
 }
--- a/internal/forward/events/splitter_test.go
+++ b/internal/forward/events/splitter_test.go
@@ -45,7 +45,7 @@
 func TestResetDiscardsTheIncompleteEvent(t *testing.T) {
 	splitter := events.Splitter{LastID: -1}
 	splitter.Push([]byte("id: 0\ndata: a\n\nid: 1\ndata: half"))
-	splitter.Reset()
+	splitter.Resume()
 
 	got := string(splitter.Push([]byte("id: 1\ndata: b\n\n")))
 	assert.Equal(t, got, "id: 1\ndata: b\n\n")
--- a/internal/forward/message/message.go
+++ b/internal/forward/message/message.go
@@ -1,7 +1,12 @@
 // Package message defines the requests of clients and the responses of backend servers, independent of any wire format.
 package message
 
-import "time"
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
 
 // NoEventID is the value of Request.LastEventID for a stream that starts at its first event.
 const NoEventID = -1
@@ -75,3 +80,17 @@
 	Status  int
 	Headers []Header
 }
+
+// IsEventStream reports whether the response is a success with a stream of server-sent events.
+func (h Head) IsEventStream() bool {
+	return h.Status == http.StatusOK && slices.ContainsFunc(h.Headers, func(header Header) bool {
+		return strings.EqualFold(header.Name, "Content-Type") && IsEventStream(header.Value)
+	})
+}
+
+// IsEventStream reports whether a content type is that of server-sent events.
+func IsEventStream(contentType string) bool {
+	kind, _, _ := strings.Cut(contentType, ";")
+
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
