Have a starting entry learn the newest configuration from agents

An entry that restarted while the store came back from a copy ran requests with a key that had been withdrawn over 6 s before, until the configuration was written again.

Cause: an entry that starts takes the configuration that it reads first for the newest. Agents know a newer one and ignored its settings, but nothing told it.

Ruled out: that entries forget at a restore; the running one refused the key all the while.

Change: agents name the newest version that they were sent, in each state. A starting entry refuses requests with keys, with the time until it may know more, until its configuration is as new; it waits a second at most for the word of three agents.

TestQuarantinedRequestsAreNotCharged has an entry that has read an empty list of servers; without a list it would wait for agents now.

--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -32,6 +32,7 @@
 
 		EvidenceUnchanged: unchanged.Evidence,
 		LimitsUnchanged:   unchanged.Limits,
+		ConfigVersion:     a.configVersion,
 	}
 
 	if confirmation, ok := a.operator.Get(); ok {
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/startup"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 )
@@ -89,6 +90,7 @@
 	notices     notices
 	limits      limits
 	ends        pendingEnds
+	startup     startup.Gate
 }
 
 // Apply puts a configuration in force unless the one in force is as new or newer, and reports whether it did.
@@ -150,6 +152,8 @@
 		return false, "no configuration"
 	case !e.Fleet.HasSynced():
 		return false, "no list of servers"
+	case e.startupWait(e.config.Load()) > 0:
+		return false, "agents not heard or know a newer configuration"
 	case age > e.unreadyAge():
 		return false, "configuration not confirmed"
 	case e.Freshness.FailingFor() > e.unreadyAge():
@@ -220,6 +224,10 @@
 		return fault.New(fault.StaleConfig, "the configuration was last confirmed %d ms ago", age.Milliseconds())
 	}
 
+	if wait := e.startupWait(config); wait > 0 {
+		return fault.New(fault.NotReady, "the configuration may be older than that of the agents").WithRetryAfter(wait)
+	}
+
 	account, ok := config.AccountByKey(j.request.Key)
 	if !ok {
 		return fault.New(fault.KeyUnknown, "no client account has this key")
--- a/internal/forward/entry/quarantine_test.go
+++ b/internal/forward/entry/quarantine_test.go
@@ -56,6 +56,7 @@
 			granter := &countingGranter{}
 			e := testEntry(nil)
 			e.Fleet, e.Changed = &fleet.Fleet{}, make(chan struct{}, 1)
+			e.Fleet.Put()
 			e.Limiter = &quota.Limiter{Granter: granter, Entries: func() int { return 1 }}
 			e.Bounds.MaxRevocationDelay = time.Minute
 			e.Freshness.Confirm(freshness.Clock(), 0)
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -48,7 +48,9 @@
 	Quarantine Quarantine
 	// OnLimits is called with the limits of servers of plain services that an agent holds; may be nil.
 	OnLimits func(statements []throttle.Statement)
-	Log      logrus.FieldLogger
+	// OnConfigVersion is called with the newest version of the configuration that an agent knows; may be nil.
+	OnConfigVersion func(server string, version int64)
+	Log             logrus.FieldLogger
 
 	mu sync.Mutex
 	// links is keyed by server id.
@@ -295,6 +297,10 @@
 		l.receiveEvidence(agent, state)
 		l.receiveLimits(state)
 
+		if l.OnConfigVersion != nil {
+			l.OnConfigVersion(agent.id, state.GetConfigVersion())
+		}
+
 		if first {
 			close(clockKnown)
 		}
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -103,6 +103,7 @@
 	server.Quarantine.OnSound, server.Quarantine.OnHold = server.Links.NotifySound, server.Links.NotifySettings
 	server.Quarantine.OnCrash = func(crash quarantine.Crash) { go server.Links.ReportCrash(settings.VM, crash) }
 	server.Links.OnLimits = server.AdoptLimits
+	server.Links.OnConfigVersion = server.ObserveConfigVersion
 	server.Permits = &link.PermitClient{Links: server.Links, Entry: settings.VM}
 	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.EntryCount}
 
