Split only streams of events, and bound what the splitter keeps

Bodies without end and without a content type from one server filled the memory of the entries, which were killed; requests that sound servers had run got no answer.

Cause: the entry split any body with status 200 on a streaming route into events and kept all bytes up to a blank line. The limit of an event applied only to heads that say text/event-stream.

Ruled out: bytes that wait for a slow client; the same bytes under text/event-stream held.

Change: only a stream of events is split; any other body goes on as it comes, and is not resumed. Splitter and limit take the same line ends, LF and CR LF also in turn.

--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -283,7 +283,7 @@
 		return nil
 	}
 
-	if r.job.route.Stream && r.status == http.StatusOK {
+	if r.job.route.Stream && r.job.eventStream {
 		data = r.job.splitter.Push(data)
 
 		if r.job.splitter.Misplaced() {
--- a/internal/forward/events/splitter.go
+++ b/internal/forward/events/splitter.go
@@ -85,17 +85,22 @@
 	return true
 }
 
-// eventEnd returns the length of the first event with its blank line; -1 if it is incomplete.
+// eventEnd returns the length of the first event with its blank line; -1 if it is incomplete. Lines end in LF or CR LF, also in turn, as for
+// Progress, so that the bytes of one event are bounded for both.
 func eventEnd(data []byte) int {
-	end := -1
+	for start := 0; ; {
+		index := bytes.IndexByte(data[start:], '\n')
+		if index < 0 {
+			return -1
+		}
+
+		start += index + 1
+		rest := bytes.TrimPrefix(data[start:], []byte("\r"))
 
-	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
-		if index := bytes.Index(data, []byte(separator)); index >= 0 && (end < 0 || index+len(separator) < end) {
-			end = index + len(separator)
+		if bytes.HasPrefix(rest, []byte("\n")) {
+			return len(data) - len(rest) + 1
 		}
 	}
-
-	return end
 }
 
 // eventID returns the id of an event; false if it has none or one that is not a number.
--- a/internal/forward/events/splitter_test.go
+++ b/internal/forward/events/splitter_test.go
@@ -23,6 +23,8 @@
 		"line before the id":      {last: -1, parts: []string{"weight-versions: 3\nid: 0\ndata: a\n\n"}, want: "weight-versions: 3\nid: 0\ndata: a\n\n"},
 		"event without an id":     {last: 4, parts: []string{"data: a\n\n"}, want: "data: a\n\n"},
 		"carriage returns":        {last: 0, parts: []string{"id: 0\r\ndata: a\r\n\r\nid: 1\r\ndata: b\r\n\r\n"}, want: "id: 1\r\ndata: b\r\n\r\n"},
+		"line ends in turn":       {last: -1, parts: []string{"id: 0\r\ndata: a\n\r\nid: 1\ndata: b\r\n\nid: 2\n"}, want: "id: 0\r\ndata: a\n\r\nid: 1\ndata: b\r\n\n", remainder: "id: 2\n"},
+		"line end in parts":       {last: -1, parts: []string{"id: 0\r\ndata: a\n\r", "\n"}, want: "id: 0\r\ndata: a\n\r\n"},
 		"id that is not a number": {last: 4, parts: []string{"id: x\ndata: a\n\n"}, want: "id: x\ndata: a\n\n"},
 	}
 
