Refuse what waits for a model server that has left the list

Requests that waited at an agent were sent to its server up to 2.98 s after the entry of the server was removed, and answers were cut when it exited.

Cause: entries closed their streams to the agent of a removed server without a word, and the agent looks at its queue for its own reasons only.

Ruled out: that entries read the removal late; all late requests had waited since before.

Change: the last message of an entry says which process has left, by its start. The agent refuses what waits as not run, and for 2 s what is still on its way; a later process of the server is not meant.

--- a/internal/forward/agent/settings.go
+++ b/internal/forward/agent/settings.go
@@ -24,9 +24,24 @@
 		a.observeEntry(w, settings)
 		a.recordVerdicts(settings)
 		a.configure(settings)
+
+		if settings.GetLeft() {
+			a.delist(w.name, settings.GetLeftStartMs())
+		}
 	}
 }
 
+// delist refuses what waits for the process of the model server that is no longer listed according to an entry.
+func (a *Agent) delist(entry string, startedAt int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.scheduler.Delist(time.Now(), startedAt)
+	a.Log.WithField("entry", entry).WithField("born", startedAt).Info("model server is no longer listed, waiting requests are refused")
+	a.dispatch()
+	a.notifyWatchers()
+}
+
 // observeEntry records what an entry knows of other entries and publishes about the store.
 func (a *Agent) observeEntry(w *watcher, settings *relay.Settings) {
 	a.mu.Lock()
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -26,6 +26,8 @@
 	// one may be, before the agent counts as disconnected.
 	stateTimeout = time.Second
 	stateMargin  = 700 * time.Millisecond
+	// leaveTimeout is how long the agent of a server that has left the list may take to be told.
+	leaveTimeout = 500 * time.Millisecond
 	// redialDelay is the wait before an agent is dialed again.
 	redialDelay = 250 * time.Millisecond
 	// removalRetention is how long the time of the removal of a server is kept.
@@ -81,6 +83,8 @@
 	// to be told which of them are sound; its capacity is 1.
 	suspects        []string
 	evidenceChanged chan struct{}
+	// left is closed when the server has left the list.
+	left chan struct{}
 }
 
 // Sync opens links for new model servers and closes those of removed servers. A server with a new address gets a new link.
@@ -113,7 +117,8 @@
 
 	for id, found := range l.links {
 		if !listed[id] {
-			found.cancel()
+			close(found.left)
+			time.AfterFunc(leaveTimeout, found.cancel)
 			delete(l.links, id)
 
 			if !found.server.Vanished {
@@ -143,7 +148,7 @@
 	}
 
 	linkCtx, cancel := context.WithCancel(ctx)
-	created := &link{id: server.ID, openedAt: time.Now(), address: l.Address(server), server: server, cancel: cancel, evidenceChanged: make(chan struct{}, 1)}
+	created := &link{id: server.ID, openedAt: time.Now(), address: l.Address(server), server: server, cancel: cancel, evidenceChanged: make(chan struct{}, 1), left: make(chan struct{})}
 	l.links[server.ID] = created
 
 	go l.run(linkCtx, created)
--- a/internal/forward/link/settings.go
+++ b/internal/forward/link/settings.go
@@ -42,6 +42,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-agent.left:
+			_ = l.sendLeft(agent, stream)
+			return
 		case <-changed:
 		case <-agent.evidenceChanged:
 		case <-clockKnown:
@@ -59,6 +62,20 @@
 		return nil
 	}
 
+	return l.send(agent, stream, settings)
+}
+
+// sendLeft tells the agent that its server has left the list.
+func (l *Links) sendLeft(agent *link, stream *settingsStream) error {
+	l.mu.Lock()
+	startedAt := agent.server.StartedAt
+	l.mu.Unlock()
+
+	return l.send(agent, stream, &relay.Settings{ConfigVersion: stream.version, Unchanged: true, Left: true, LeftStartMs: startedAt})
+}
+
+// send completes the settings and sends them.
+func (l *Links) send(agent *link, stream *settingsStream, settings *relay.Settings) error {
 	settings.ClockMs = freshness.Clock().Milliseconds()
 	settings.Entries = int32(l.EntryCount())
 	settings.Operator = publication(l.Operator, stream.peer)
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -62,10 +62,17 @@
 	// it is zero if it allowed one at the last dispatch.
 	limiter      throttle.Limiter
 	limitedUntil time.Time
+	// delistedUntil is when requests are taken again after the server with the start time delistedStart left the list.
+	delistedUntil time.Time
+	delistedStart int64
 	// closed is true once the agent shuts down.
 	closed bool
 }
 
+// delistTime is how long requests are refused after the server has left the list: those of entries that have not read it yet are still on
+// their way.
+const delistTime = 2 * time.Second
+
 // adapterState is the state of an adapter that is loaded or being loaded, or that requests use.
 type adapterState struct {
 	// version is the loaded version; 0 while none is loaded.
@@ -117,6 +124,16 @@
 	return s.report.Draining || s.notices.Leaving(s.report.StartedAt)
 }
 
+// Delist makes the scheduler refuse all requests that have not started, for delistTime, if the process of the server started at the given
+// time, in Unix milliseconds: it is no longer listed and may end at any time.
+func (s *Scheduler) Delist(now time.Time, startedAt int64) {
+	s.delistedUntil, s.delistedStart = now.Add(delistTime), startedAt
+}
+
+func (s *Scheduler) isDelisted(now time.Time) bool {
+	return now.Before(s.delistedUntil) && s.report.StartedAt == s.delistedStart
+}
+
 // Close makes the scheduler refuse all requests that have not started.
 func (s *Scheduler) Close() {
 	s.closed = true
@@ -247,6 +264,8 @@
 		return fault.New(fault.Draining, "the agent is shutting down")
 	case s.draining():
 		return fault.New(fault.Draining, "the backend server is draining")
+	case s.isDelisted(now):
+		return fault.New(fault.Draining, "the backend server is no longer listed")
 	case s.resting:
 		return fault.New(fault.Overloaded, "the backend server takes no requests for a while").WithRetryAfter(s.notices.RestLeft(now))
 	case now.After(request.Expires):
