Keep a place for an order that may reach a later process of its server

An order to load that got no answer was carried out after a restart of its server, which was ordered to load 18 adapters into 17 places, crashed, and cut 7 or 8 answers.

Cause: the agent forgets the orders to an earlier process, and the server carries one out when its count of accepted orders comes by the number that the order names.

Ruled out: that the agent itself orders too many; its invariant holds.

Change: for 13 s the place of such an order stays reserved at a later process, as long as the count can still come by its number. Expect-Instance on orders was weighed: the case has a server that ignores it.

--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -14,6 +14,7 @@
 func (s *Scheduler) Observe(now time.Time, report Report) {
 	if report.StartedAt != s.report.StartedAt {
 		s.limiter = throttle.Limiter{}
+		s.keepStrays()
 	}
 
 	if report.StartedAt != s.report.StartedAt || s.adapters == nil {
@@ -120,7 +121,7 @@
 			continue
 		}
 
-		return s.adapterOrder(request.Adapter)
+		return s.adapterOrder(now, request.Adapter)
 	}
 
 	return Order{}, false
@@ -203,7 +204,7 @@
 
 // adapterOrder returns the order to load the adapter, or to unload another one first if there is no space for it; false if
 // neither is possible.
-func (s *Scheduler) adapterOrder(adapter Adapter) (Order, bool) {
+func (s *Scheduler) adapterOrder(now time.Time, adapter Adapter) (Order, bool) {
 	loading := 0
 
 	for _, found := range s.adapters {
@@ -217,7 +218,7 @@
 	}
 
 	replaces := s.adapters[adapter] != nil && s.adapters[adapter].version > 0
-	if replaces || s.usedAdapterSlots() < s.limits.AdapterSlots && s.fits(adapter) {
+	if replaces || s.usedAdapterSlots()+s.reservedSlots(now) < s.limits.AdapterSlots && s.fits(adapter) {
 		return s.newOrder(Load, adapter), true
 	}
 
@@ -301,7 +302,10 @@
 	switch outcome {
 	case Accepted, Unneeded:
 		s.applyAccepted(now, order, outcome)
-	case Rejected, Unknown:
+	case Unknown:
+		s.recordUnanswered(now, order)
+		s.noOrdersBefore = now.Add(orderRetryDelay)
+	case Rejected:
 		s.noOrdersBefore = now.Add(orderRetryDelay)
 	}
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -62,6 +62,8 @@
 	// it is zero if it allowed one at the last dispatch.
 	limiter      throttle.Limiter
 	limitedUntil time.Time
+	// unanswered holds the orders that got no answer, and strays those to earlier processes of the server.
+	unanswered, strays []strayOrder
 	// delistedUntil is when requests are taken again after the server with the start time delistedStart left the list.
 	delistedUntil time.Time
 	delistedStart int64
