Let the largest body through, and bound the bodies of all requests

A body of exactly maxBodyBytes (4,194,304) to a model server always got 502, and 80 such bodies at once took an entry over its memory.

Cause: messages between entry and agent were limited to 4 MB with their headers, and nothing bounded the bodies of all requests together.

Change: messages may have 5 MB, idle connections keep 64 KB of buffers, and an entry refuses a body at once, with 503, if those under way take an eighth of its memory.

The memory of an entry under 80 such bodies was not measured.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -31,6 +31,9 @@
 	// drainDelay is the time between the start of the drain, when an entry becomes unready, and the close of its listener. The
 	// platform probes once a second and stops sending requests after two failed probes.
 	drainDelay = 2500 * time.Millisecond
+	// bodyMemoryShare is the part of the memory of the process, as a divisor, that bodies of requests may take; each is copied twice on its
+	// way.
+	bodyMemoryShare = 8
 	// graceMargin is the part of the grace period that is reserved for the exit of the process.
 	graceMargin = 500 * time.Millisecond
 )
@@ -159,6 +162,7 @@
 	}
 
 	handler := &platform.Handler{
+		BodyMemory: p.settings.MemoryLimit / bodyMemoryShare,
 		Serve: func(ctx context.Context, request *message.Request, response *platform.Response) {
 			server.Serve(ctx, request, response)
 		},
--- a/internal/wire/conn/pool.go
+++ b/internal/wire/conn/pool.go
@@ -11,6 +11,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
 )
 
 const (
@@ -20,6 +22,10 @@
 	addressCapacity = 32
 	// dialTimeout is the timeout of a TCP dial; it is short so that a VM that drops packets is detected quickly.
 	dialTimeout = time.Second
+	// maxMessageBytes is the maximum size of a message: a request body of 4 MB, the largest that a client may send, with its headers.
+	maxMessageBytes = 5 << 20
+	// keptBufferBytes is the size of the buffer that an idle connection keeps.
+	keptBufferBytes = 64 << 10
 	// cancelGrace is how long a canceled stream may take to finish its current send before its connection is closed.
 	cancelGrace = 100 * time.Millisecond
 )
@@ -69,7 +75,11 @@
 
 // ManagerOptions returns the drpc options that both clients and servers use.
 func ManagerOptions() drpcmanager.Options {
-	return drpcmanager.Options{SoftCancel: true, SoftCancelGrace: cancelGrace}
+	return drpcmanager.Options{
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:     drpcstream.Options{MaximumBufferSize: keptBufferBytes},
+		SoftCancel: true, SoftCancelGrace: cancelGrace,
+	}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
