Relay headers that are no text in UTF-8

What callers saw: found while looking at what relays pass on. A request to a model server with a header in Latin-1, or with such bytes in its model, id or prompt parts, got 502 "may have run", although it was never sent. A response with such a header was lost after it had run.

Cause: messages to agents have text fields, which cannot hold other bytes.

Change: the values of headers and the target are bytes in these messages, which is the same on the wire for text; ids of prompt parts that are no text are hashed; an id, host or model that is no text gets 400, with the reason; error texts that quote a server have other bytes replaced.

--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -3,6 +3,7 @@
 package convert
 
 import (
+	"strings"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
@@ -17,7 +18,7 @@
 	return &relay.Request{
 		Id:          d.ID,
 		Method:      d.Method,
-		Target:      d.Target,
+		Target:      []byte(d.Target),
 		Host:        d.Host,
 		Headers:     toHeaders(d.Headers),
 		Body:        d.Body,
@@ -44,7 +45,7 @@
 		Request: &message.Request{
 			ID:              r.GetId(),
 			Method:          r.GetMethod(),
-			Target:          r.GetTarget(),
+			Target:          string(r.GetTarget()),
 			Host:            r.GetHost(),
 			Headers:         fromHeaders(r.GetHeaders()),
 			Body:            r.GetBody(),
@@ -82,14 +83,14 @@
 	case message.Refused:
 		refused := &relay.Refused{
 			Kind:         string(e.Err.Kind),
-			Message:      e.Err.Message,
+			Message:      toText(e.Err.Message),
 			RetryAfterMs: e.Err.RetryAfter.Milliseconds(),
 			Arrived:      e.ByBackend,
 		}
 
 		return &relay.Event{Body: &relay.Event_Refused{Refused: refused}}
 	case message.Failed:
-		failed := &relay.Failed{Kind: string(e.Err.Kind), Message: e.Err.Error()}
+		failed := &relay.Failed{Kind: string(e.Err.Kind), Message: toText(e.Err.Error())}
 		return &relay.Event{Body: &relay.Event_Failed{Failed: failed}}
 	default:
 		return &relay.Event{Body: &relay.Event_Beat{Beat: &relay.Beat{}}}
@@ -161,10 +162,15 @@
 	}, ok
 }
 
+// toText replaces the bytes of a message that are no text: it may quote what a server has sent.
+func toText(message string) string {
+	return strings.ToValidUTF8(message, "\uFFFD")
+}
+
 func toHeaders(headers []message.Header) []*relay.Header {
 	list := make([]*relay.Header, len(headers))
 	for i, header := range headers {
-		list[i] = &relay.Header{Name: header.Name, Value: header.Value}
+		list[i] = &relay.Header{Name: header.Name, Value: []byte(header.Value)}
 	}
 
 	return list
@@ -173,7 +179,7 @@
 func fromHeaders(headers []*relay.Header) []message.Header {
 	list := make([]message.Header, len(headers))
 	for i, header := range headers {
-		list[i] = message.Header{Name: header.GetName(), Value: header.GetValue()}
+		list[i] = message.Header{Name: header.GetName(), Value: string(header.GetValue())}
 	}
 
 	return list
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -201,6 +202,10 @@
 
 	j := newJob(request, route, config)
 
+	if j.service.Engine != nil && !isText(request) {
+		return nil, fault.New(fault.InvalidRequest, "the id, the host or the model of the request is no text in UTF-8")
+	}
+
 	if !route.Public && config.RequiresKeys() {
 		if err := e.authorize(j, config); err != nil {
 			return nil, err
@@ -215,6 +220,17 @@
 	return j, e.charge(ctx, j)
 }
 
+// isText reports whether what names a request to agents is text. Its target and other headers may hold any bytes.
+func isText(request *message.Request) bool {
+	for _, name := range []string{request.ID, request.Method, request.Host, request.Model, request.Adapter} {
+		if !utf8.ValidString(name) {
+			return false
+		}
+	}
+
+	return true
+}
+
 // authorize finds the client account of the request's key and sets the account and its urgency. It refuses all requests while the
 // configuration may be too old to contain the latest revocations.
 func (e *Entry) authorize(j *job, config *catalog.Config) *fault.Error {
--- a/internal/forward/quarantine/parts.go
+++ b/internal/forward/quarantine/parts.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -33,9 +34,9 @@
 	return ids
 }
 
-// partID returns the subject of a part, which has no other kind.
+// partID returns the subject of a part, which has no other kind and is text.
 func partID(id string) string {
-	if len(id) <= maxPartBytes && KindOf(id) == Part {
+	if len(id) <= maxPartBytes && KindOf(id) == Part && utf8.ValidString(id) {
 		return id
 	}
 
