Answer a request that is read while idle connections are closed

A request sent 4 ms after SIGTERM reached a server, and the entry closed its connection 1 ms later.

Ruled out: the end of the process (seconds later), and Shutdown, which drops a request that it reads before it runs.

Change: a close of an idle connection ends the read that waits there. If it has read a request, the connection stays open for the response; the entry waits for such connections before it ends.

Result: TestRequestReadWhileIdleConnectionsAreClosed gets no second response with the plain close and passes with the change.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/watch"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/graceful"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 	"github.com/chestnutbeam/chestnutbeam/platform"
 )
@@ -175,7 +176,8 @@
 		},
 	}
 
-	clients := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	connections := &graceful.Listener{Listener: upstream.Listener{Listener: listener}}
+	clients := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connections.ObserveState}
 
 	// The timeouts of the first configuration apply from the start. Without a configuration, the entry serves after
 	// configTimeout and refuses requests.
@@ -186,7 +188,7 @@
 
 	serveErr := make(chan error, 1)
 
-	go func() { serveErr <- clients.Serve(upstream.Listener{Listener: listener}) }()
+	go func() { serveErr <- clients.Serve(connections) }()
 
 	select {
 	case err := <-serveErr:
@@ -205,6 +207,7 @@
 	defer cancel()
 
 	err = clients.Shutdown(shutdownContext)
+	connections.Wait(shutdownContext)
 	p.log.WithError(err).Info("process stopped")
 
 	return nil
