--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -238,13 +238,10 @@
 
 	if j.responseStarted {
 		// The client has received the head of an earlier response, which only a stream of events can continue.
-		r.withheld = true
 		if !head.IsEventStream() {
 			return r.reject(errNotContinued)
 		}
 
-		r.withheld = false
-
 		return nil
 	}
 
