Refuse requests that arrive at the end of a drain

Cause, shown by a test and likely for that run: the drain ended at the first moment without jobs and streams after the last ticket, and a stream counted only once its request was received.

Ruled out: requests sent after the drain has begun; they are refused.

Change: a stream counts from its start, and a drain ends after 500 ms without work.

The hosted programs are not concerned.

--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -238,6 +238,37 @@
 	})
 }
 
+// Guards against an agent that ends while a request, sent with the last valid ticket, is on its way: its outcome is unknown then, although
+// it has not run (P13).
+func TestRequestAtTheEndOfADrainIsRefused(t *testing.T) {
+	// The last ticket is valid for 3 s after the start of the drain.
+	cases := map[string]struct {
+		// opened and sent are the times of the stream and of the request on it, from the start of the drain.
+		opened, sent time.Duration
+	}{
+		"stream open, request on its way": {2900 * time.Millisecond, 3300 * time.Millisecond},
+		"both on their way":               {3100 * time.Millisecond, 3100 * time.Millisecond},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withAgent(t, true, func(f *fixture) {
+				client, end := f.client()
+				defer end()
+
+				f.stop()
+				time.Sleep(c.opened)
+
+				stream, err := client.Run(f.t.Context())
+				assert.NilError(f.t, err)
+				time.Sleep(c.sent - c.opened)
+				assert.NilError(f.t, stream.Send(&rpc.RunUp{Body: &rpc.RunUp_Request{Request: f.call("late", "o1")}}))
+				assert.Equal(f.t, readResult(stream, -1).kind(), "refused draining")
+			})
+		})
+	}
+}
+
 // Guards against an account that gets too small a share because it declares more output tokens than it uses.
 func TestFairnessByUse(t *testing.T) {
 	withAgent(t, false, func(f *fixture) {
--- a/internal/agent/server/handler.go
+++ b/internal/agent/server/handler.go
@@ -75,6 +75,9 @@
 
 // Run implements rpc.DRPCAgentServer.
 func (s handler) Run(stream rpc.DRPCAgent_RunStream) error {
+	s.streams.Add(1)
+	defer s.streams.Add(-1)
+
 	up, err := stream.Recv()
 	if err != nil {
 		return errors.Wrap(err, "receive request")
@@ -86,8 +89,6 @@
 	}
 
 	s.Source.AddPendingRevocations(request.Revocations)
-	s.streams.Add(1)
-	defer s.streams.Add(-1)
 
 	out := &responder{server: s.Server, stream: stream, request: request, residentEpoch: request.ResidentKnown}
 	ctx, canceled := watchCancel(stream)
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -37,6 +37,9 @@
 	// drainDelay is the time from the start of a drain to the end of the process. Until the tickets have expired, an entry may send a
 	// request because it does not know of the drain yet.
 	drainDelay = ticketLifetime
+	// drainQuiet is how long there must be no work before a drain ends: a request that an entry sent with its last ticket may still be on
+	// its way, and is refused when it arrives.
+	drainQuiet = 500 * time.Millisecond
 	// waitLogInterval is the time between two log lines with the unmet readiness conditions.
 	waitLogInterval = 5 * time.Second
 	// documentCondition is the readiness condition that is unmet until the process has a fleet document.
@@ -193,7 +196,8 @@
 	return logrus.WithFields(logrus.Fields{"component": component, "server": s.Settings.Server})
 }
 
-// drain refuses new requests and waits for drainDelay and until all work has ended, or until Settings.Drain has passed if it is not 0.
+// drain refuses new requests and waits for drainDelay and until there was no work for drainQuiet, or until Settings.Drain has passed if it
+// is not 0.
 func (s *Server) drain() {
 	s.Board.Draining.Set(true)
 	s.setReady("drain", false)
@@ -202,8 +206,13 @@
 	log.Info("draining")
 
 	drainStart := time.Now()
+	lastWork := drainStart
+
+	for time.Since(lastWork) < drainQuiet {
+		if time.Since(drainStart) < drainDelay || s.scheduler.jobCount() > 0 || s.streams.Load() > 0 {
+			lastWork = time.Now()
+		}
 
-	for time.Since(drainStart) < drainDelay || s.scheduler.jobCount() > 0 || s.streams.Load() > 0 {
 		if timeout := s.Settings.Drain; timeout > 0 && time.Since(drainStart) >= timeout {
 			log.WithField("left", s.scheduler.jobCount()).Warn("drain timeout exceeded")
 			return
