Let a copy of the store confirm nothing for two seconds

Requests ran that were sent 65 to 140 ms after their key must have stopped working; the store came back from a copy that lacks the configuration without the key, and responded with errors again.

Cause: a read of the copy counted as a confirmation that the configuration in force is the newest, although no entry had read the newer one.

Ruled out: a starting entry that believes the copy; agents knew no newer configuration either.

Change: for 2 s after the first read since a restore reads confirm nothing, so that the age of the configuration goes on from before the outage.

--- a/internal/forward/agent/evidence.go
+++ b/internal/forward/agent/evidence.go
@@ -19,7 +19,8 @@
 )
 
 // responseBroken records that the model server ended the connection of a request, sent at the given time, before its response was known to
-// be complete. The request or one of its prompt parts may have ended the server, wherever the response stood. The next report tells whether the server itself has ended.
+// be complete. The request or one of its prompt parts may have ended the server, wherever the response stood. The next report tells whether
+// the server itself has ended.
 func (a *Agent) responseBroken(delivery *message.Delivery, sentAt time.Time) {
 	digest := quarantine.RequestDigest(delivery.Request, delivery.Account)
 	subjects := slices.Concat([]string{quarantine.RequestSubject(digest)}, delivery.SharedParts)
--- a/internal/forward/freshness/freshness.go
+++ b/internal/forward/freshness/freshness.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// Recover records that the store responds again, without a confirmation.
+func (t *Tracker) Recover() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.failing = false
+}
+
 // FailingFor returns the time since the first failed call after the last confirmation by the store; 0 if there was none.
 func (t *Tracker) FailingFor() time.Duration {
 	now := t.Clock()
--- a/internal/forward/progress/follower.go
+++ b/internal/forward/progress/follower.go
@@ -62,6 +62,9 @@
 	Requested time.Duration
 	// StoreClock is the reading of the store's monotonic clock in the response.
 	StoreClock time.Duration
+	// Unsettled is true if the store was restored from a copy a moment ago and may lack what was written before: the read confirms
+	// nothing.
+	Unsettled bool
 }
 
 // Record records a read of the topic.
@@ -82,7 +85,11 @@
 	publishes := f.publishes
 	f.mu.Unlock()
 
-	f.Freshness.Confirm(read.Requested, read.StoreClock)
+	if read.Unsettled {
+		f.Freshness.Recover()
+	} else {
+		f.Freshness.Confirm(read.Requested, read.StoreClock)
+	}
 
 	if publishes {
 		f.OnPublish()
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -22,6 +22,10 @@
 	// minBackoff and maxBackoff bound the backoff after a failed call, which doubles with each failure.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// settleTime is how long after the first read since a restore the operator may take to write again what the copy lacks. Until then,
+	// reads confirm nothing, and an entry that does not watch the topic for others reads it every unsettledInterval.
+	settleTime        = 2 * time.Second
+	unsettledInterval = 200 * time.Millisecond
 	// removalDelay is how long after an outage or a restore of the store servers that vanished from the list stay in use:
 	// servers that are alive are listed again by then.
 	removalDelay = 2 * time.Second
@@ -58,7 +62,9 @@
 	// version is the store's newest version at the last read, and era that of the store; both are set if read is true.
 	version, era int64
 	read         bool
-	evacuations  evacuations
+	// settledAt is when reads confirm the topic again after a restore of the store; it is zero or in the past if they do.
+	settledAt   time.Time
+	evacuations evacuations
 	// seen holds the versions of the rows of servers that were read.
 	seen seenVersions
 	// unavailable is true if the last call failed.
@@ -105,6 +111,7 @@
 	w.version, w.era, w.read = batch.Version, batch.Era, true
 	w.Progress.Record(progress.Read{
 		Newest: progress.Mark{Era: batch.Era, Version: batch.Version}, Changed: changed, Requested: requested, StoreClock: batch.Clock,
+		Unsettled: time.Now().Before(w.settledAt),
 	})
 }
 
@@ -176,6 +183,10 @@
 // delay returns the time until the next call. It is BatchDelay after changes, and 0 after a response without changes, for
 // which the store has waited already. Entries that are not readers learn of changes that the readers have batched.
 func (w *Watcher) delay(batch Batch) time.Duration {
+	if !w.Progress.IsReader() && time.Now().Before(w.settledAt) {
+		return unsettledInterval
+	}
+
 	if len(batch.Items) == 0 || !w.Progress.IsReader() {
 		return 0
 	}
@@ -203,7 +214,11 @@
 // apply applies what was read and reports whether anything has changed.
 func (w *Watcher) apply(batch Batch, full bool) bool {
 	now := time.Now()
+
 	restored := full && w.read && batch.Era != w.era
+	if restored {
+		w.settledAt = now.Add(settleTime)
+	}
 
 	if w.Topic == Operator {
 		return w.applyOperator(now, batch, full, restored)
