--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 TIME ?= 20s
 
-.PHONY: build test lint format generate demo soak soak-hosted measure measure-own slopes bench fuzz
+.PHONY: build test lint format generate demo soak soak-hosted soak-restore measure measure-own slopes bench fuzz
 
 build:
 	go build -o bin/chestnutbeam ./cmd/chestnutbeam
@@ -37,6 +37,10 @@
 soak-hosted:
 	go test -count=1 -timeout 0 -run '^TestSeeds$$' ./platform/soak -soak.first $(SEED) -soak.seeds $(SEEDS) -soak.length $(LENGTH)
 
+# The same while the store comes back from copies, servers leave the list and requests end servers in the middle of their responses.
+soak-restore:
+	go test -count=1 -timeout 0 -run '^TestRestoreSeeds$$' ./platform/soak -soak.restore.first $(SEED) -soak.restore.seeds $(SEEDS) -soak.length $(LENGTH)
+
 # Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
 slopes:
 	go run ./cmd/slopes
