Let the extra retries of an entry be none while it does not know its share

Cause: an entry took its part of the common extra retries from the number of entries that connected agents name, and 1 if there was none; a process that started began a new window with a whole part. Fleets without agents, entries that start one after the other, and restarts in series each exceed the budget.

Ruled out: repeats that are not counted. Every arrival beyond the first follows a refusal by a server or a failure, and both take from the budget.

--- a/internal/forward/entry/budget.go
+++ b/internal/forward/entry/budget.go
@@ -45,7 +45,23 @@
 	found.requests = append(dropBefore(found.requests, now.Add(-bounds.RetryWindow)), now)
 }
 
-// takeRetry reports whether a request may be retried, and counts the retry if so.
+// takeRetry reports whether a request to a service may be retried, and counts the retry if so.
+func (e *Entry) takeRetry(now time.Time, service string) bool {
+	return e.retryBudget.takeRetry(now, service, e.Bounds, e.extraSharers(now))
+}
+
+// extraSharers returns the number of entries that share the extra retries; 0 if this entry may use none of them. It may use none in the
+// first window after its start, since an earlier process of its VM, or entries that count on fewer others, may have used its part.
+func (e *Entry) extraSharers(now time.Time) int {
+	if now.Sub(e.StartedAt) < e.Bounds.RetryWindow {
+		return 0
+	}
+
+	return e.Entries()
+}
+
+// takeRetry reports whether a request may be retried if the given number of entries share the extra retries, and counts the retry if so.
+// With 0 entries, only the ratio of the requests is allowed.
 func (b *retryBudget) takeRetry(now time.Time, service string, bounds Bounds, entries int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -54,7 +70,11 @@
 	found.requests = dropBefore(found.requests, now.Add(-bounds.RetryWindow))
 	found.retries = dropBefore(found.retries, now.Add(-bounds.RetryWindow))
 
-	allowed := bounds.RetryRatio*float64(len(found.requests)) + bounds.RetryExtra/float64(max(entries, 1))
+	allowed := bounds.RetryRatio * float64(len(found.requests))
+	if entries > 0 {
+		allowed += bounds.RetryExtra / float64(entries)
+	}
+
 	if float64(len(found.retries)+1) > allowed*entryBudgetShare {
 		return false
 	}
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -81,6 +81,10 @@
 	Permits *link.PermitClient
 	// Changed wakes SyncLinks; its capacity is 1.
 	Changed chan struct{}
+	// Entries returns the number of entries that share the common budgets, or a larger one; 0 if it is not known.
+	Entries func() int
+	// StartedAt is when the process started.
+	StartedAt time.Time
 
 	config      atomic.Pointer[catalog.Config]
 	draining    atomic.Bool
--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -29,6 +29,7 @@
 		Freshness: &freshness.Tracker{}, Links: &link.Links{}, Pool: conn.New(dial), Log: log, Metrics: metrics.NewRegistry(),
 		Quarantine: &Quarantine{Log: log, Metrics: metrics.NewRegistry()},
 		Bounds:     Bounds{RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second},
+		Entries:    func() int { return 1 },
 	}
 }
 
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -94,7 +94,7 @@
 	again := ctx.Err() == nil && j.refusals < maxRefusals && j.remaining() > 0 && !failedTrial
 
 	if again && refused.ByBackend {
-		again = e.retryBudget.takeRetry(time.Now(), j.service.Name, e.Bounds, e.Links.EntryCount())
+		again = e.takeRetry(time.Now(), j.service.Name)
 	}
 
 	metric.Count(e.Metrics, "try.refused."+string(refused.Err.Kind))
@@ -123,7 +123,7 @@
 		e.Quarantine.reportCrash(*j.crash)
 	}
 
-	again := wanted && j.retryable() && e.Quarantine.mayRepeat(j) && e.retryBudget.takeRetry(time.Now(), j.service.Name, e.Bounds, e.Links.EntryCount())
+	again := wanted && j.retryable() && e.Quarantine.mayRepeat(j) && e.takeRetry(time.Now(), j.service.Name)
 
 	metric.Count(e.Metrics, "try.failed."+string(failed.Err.Kind))
 	e.Log.WithFields(logrus.Fields{
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -15,6 +15,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/members"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
@@ -65,6 +66,8 @@
 	notified chan struct{}
 	// reader is true if this entry watches the store for others.
 	reader bool
+	// entries estimates the number of entries from what agents name.
+	entries members.Count
 }
 
 // link is the connection to the agent of one model server.
@@ -175,6 +178,11 @@
 	}
 }
 
+// KnownEntries returns the largest number of entries that an agent has named lately; 0 if none has named one.
+func (l *Links) KnownEntries() int {
+	return l.entries.Get(time.Now())
+}
+
 // EntryCount returns the largest number of entries that any agent is connected to, at least 1.
 func (l *Links) EntryCount() int {
 	l.mu.Lock()
--- a/internal/forward/link/state.go
+++ b/internal/forward/link/state.go
@@ -87,6 +87,8 @@
 		l.Log.WithField("server", agent.id).WithField("ready", state.Ready).Info("agent in touch")
 	}
 
+	l.entries.Hear(time.Now(), state.Entries)
+
 	roleChanged := !agent.connected || agent.state.Reader != state.Reader
 	agent.connected = true
 	agent.state = state
--- a/internal/forward/quota/holder.go
+++ b/internal/forward/quota/holder.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/peak"
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/bucket"
 )
 
@@ -23,7 +24,7 @@
 type Holder struct {
 	buckets map[string]*accountBucket
 	// entries is the peak of the number of entries in the system.
-	entries peak
+	entries peak.Peak
 	// withheld is the part of each rate that is not granted, because it is the reserve of the entries that are not connected.
 	withheld float64
 }
@@ -60,7 +61,8 @@
 // SetEntries sets the number of entries in the system, as connected entries report it, and the number of connected ones. The
 // others may be using their reserves, which are part of the rate of each account, so that much less is granted.
 func (h *Holder) SetEntries(now time.Time, reported, connected int) {
-	known := h.entries.record(now, max(reported, connected))
+	h.entries.Retention = peakRetention
+	known := h.entries.Record(now, max(reported, connected))
 	withheld := 0.0
 
 	if known > 0 {
--- a/internal/forward/quota/limiter.go
+++ b/internal/forward/quota/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/peak"
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/bucket"
 )
 
@@ -31,6 +32,9 @@
 	// minRetry and maxRetry bound the retry delay of a refused request.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 2 * time.Second
+	// peakRetention is how long the number of entries is remembered at least. Entries that are cut off from the holder are set aside for
+	// this long.
+	peakRetention = 30 * time.Second
 	// holderRetryDelay is how long no tokens are requested from a holder after a failure.
 	holderRetryDelay = 300 * time.Millisecond
 )
@@ -50,7 +54,7 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	// entries is the peak of Entries, which falls when this entry loses connections.
-	entries peak
+	entries peak.Peak
 }
 
 type account struct {
@@ -146,6 +150,7 @@
 
 	if l.accounts == nil {
 		l.accounts = map[string]*account{}
+		l.entries.Retention = peakRetention
 	}
 
 	found := l.accounts[name]
@@ -155,7 +160,7 @@
 	}
 
 	now := time.Now()
-	found.limitReserve(now, rate, burst, l.entries.record(now, max(l.Entries(), 1)))
+	found.limitReserve(now, rate, burst, l.entries.Record(now, max(l.Entries(), 1)))
 
 	return found
 }
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -93,6 +93,7 @@
 		Log:         p.log,
 		Metrics:     p.metrics,
 		Changed:     make(chan struct{}, 1),
+		StartedAt:   time.Now(),
 		Quarantine:  &entry.Quarantine{Log: p.log, Metrics: p.metrics, Tracker: quarantine.Tracker{Random: rand.Float64}},
 	}
 
@@ -107,6 +108,7 @@
 	server.Quarantine.OnSound, server.Quarantine.OnHold = server.Links.NotifySound, server.Links.NotifySettings
 	server.Quarantine.OnCrash = func(crash quarantine.Crash) { go server.Links.ReportCrash(settings.VM, crash) }
 	server.Links.OnLimits = server.AdoptLimits
+	server.Entries = server.Links.KnownEntries
 	server.Links.OnConfigVersion = server.ObserveConfigVersion
 	server.Permits = &link.PermitClient{Links: server.Links, Entry: settings.VM}
 	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.EntryCount}
