Share the limit of a server among all entries that may use it

What callers would see: servers in need get more requests than they name (LIMIT) in a fleet without agents: eight entries send half of the limit each.

Change: the largest number of entries that an agent has named lately counts, 64 if none has, and a share becomes smaller as more are heard of.

Ruled out: shares of entries that know each other; that case passed before.

--- a/internal/forward/entry/limits.go
+++ b/internal/forward/entry/limits.go
@@ -13,6 +13,8 @@
 const (
 	// reserveShare is the fraction of its equal share of a limit that an entry uses while it cannot reach the holder of the limit.
 	reserveShare = 0.5
+	// unknownEntries is the number of entries that is assumed while none is known; fleets have a few dozen at most.
+	unknownEntries = 64
 	// maxLimits is the number of servers of plain services whose limits an entry remembers.
 	maxLimits = 1024
 )
@@ -32,6 +34,8 @@
 	blockedUntil time.Time
 	// reserve permits requests while the holder of the limit cannot be reached; nil otherwise.
 	reserve *throttle.Limiter
+	// sharers is the number of entries among which reserve is shared.
+	sharers int
 }
 
 // observe records a statement from a response to this entry, and reports whether the limit has changed.
@@ -123,14 +127,20 @@
 	return decision.Granted
 }
 
-// takeReserve reports whether one of the given number of entries may send a request to a server whose holder it cannot reach.
+// takeReserve reports whether one of the given number of entries, 0 if it is not known, may send a request to a server whose holder it
+// cannot reach.
 func (l *limits) takeReserve(now time.Time, server string, entries int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	found := l.get(server)
-	if found.reserve == nil {
-		found.reserve = &throttle.Limiter{Share: reserveShare / float64(max(entries, 1))}
+	if entries == 0 {
+		entries = unknownEntries
+	}
+
+	if found.reserve == nil || found.sharers < entries {
+		found.reserve = &throttle.Limiter{Share: reserveShare / float64(entries)}
+		found.sharers = entries
 	}
 
 	found.reserve.Observe(now, found.known.Newest())
--- a/internal/forward/entry/permit.go
+++ b/internal/forward/entry/permit.go
@@ -68,7 +68,7 @@
 		granted = e.limits.settle(time.Now(), server.ID, decision)
 	} else {
 		outcome = "unreachable"
-		granted = e.limits.takeReserve(time.Now(), server.ID, e.Links.EntryCount())
+		granted = e.limits.takeReserve(time.Now(), server.ID, e.Entries())
 	}
 
 	if granted {
