Run a request once that arrives at an entry on two connections

Cause: nothing remembered the ids of such requests at an entry.

Change: an entry remembers them until their deadlines and answers 502 to another one with the id, which promises nothing. One that was refused, and so has not run, is forgotten.

Ruled out: a refusal in place of 502; the first request may have run.

Two entries do not know each other's ids; that stays open.

--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -96,6 +96,7 @@
 	limits      limits
 	ends        pendingEnds
 	startup     startup.Gate
+	attempts    attempts
 }
 
 // Apply puts a configuration in force unless the one in force is as new or newer, and reports whether it did.
@@ -186,6 +187,14 @@
 
 	j.sink = sink
 
+	if j.route.RetryPolicy == catalog.AtMostOnce && !e.attempts.begin(time.Now(), request.ID, j.deadline) {
+		err := fault.New(fault.OutcomeUnknown, "a request with the same id has been received")
+		e.reportRefusal(request, err)
+		sink.Fail(err)
+
+		return
+	}
+
 	bounded, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -159,6 +159,10 @@
 	checkError(j, err)
 	e.reportEnd(j, err)
 
+	if err.Kind.Response().Ran == fault.RanNo {
+		e.attempts.forget(j.request.ID)
+	}
+
 	if j.responseStarted {
 		j.sink.Abort()
 		return
