--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -84,6 +84,36 @@
 	assert.Equal(t, failed.Err.Kind, fault.OutcomeUnknown)
 }
 
+// Guards against a request that counts as refused because its agent is paused: its kernel takes the request, which runs once the agent goes
+// on (REFUSED).
+func TestAgentThatIsPausedMayRunTheRequest(t *testing.T) {
+	cases := map[string]func(agent net.Conn){
+		"takes the request":  func(agent net.Conn) { _, _ = io.Copy(io.Discard, agent) },
+		"takes a part of it": func(agent net.Conn) { _, _ = io.CopyN(io.Discard, agent, 16) },
+		"takes nothing":      func(net.Conn) {},
+	}
+
+	for name, pause := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			dial := func(context.Context, string) (net.Conn, error) {
+				own, agent := net.Pipe()
+
+				go pause(agent)
+
+				return own, nil
+			}
+
+			outcome := testEntry(dial).relay(t.Context(), testJob(catalog.AtMostOnce), fleet.Server{ID: "a", Address: "h:1"}, func(message.Event) error { return nil })
+
+			failed, ok := outcome.(message.Failed)
+			assert.Assert(t, ok, "%#v", outcome)
+			assert.Equal(t, failed.Err.Kind, fault.OutcomeUnknown)
+		})
+	}
+}
+
 // Guards against more runs than the route allows, and against a second run where none is allowed.
 func TestRunsOfOneRequestAreBounded(t *testing.T) {
 	cases := map[string]struct {
