Count the entries of a fleet without agents by rows of the store

What callers would see: in a fleet without agents, client accounts exceed their rates (QUOTA: 8,700 tokens of 8,650 with five entries in TestShortSoakWithoutAgents), since each entry takes itself for the only one; and since the retry budget became none without a known number, a single lost response is not repeated there.

Cause: the number of entries is known from agents only. An account's reserve took 1 for it where none was known.

The reserve of an account is nothing while no number is known. A process may use two fifths of its part of the extra retries in its first window, in proportion to its age; with none, a broken stream was not resumed for 10 s.

Ruled out: 64 assumed entries for accounts, which would refuse nearly all.

--- a/internal/forward/entry/budget.go
+++ b/internal/forward/entry/budget.go
@@ -9,6 +9,10 @@
 // edges of the time window.
 const entryBudgetShare = 0.7
 
+// startShare is the fraction of its part of the extra retries that a process may use in the first window after its start, in proportion to
+// its age. With the part that an earlier process has used, it stays within the common budget: entryBudgetShare * (1 + startShare) < 1.
+const startShare = 0.4
+
 // retryBudget limits the retries of this entry to its share of the retry budget of all entries.
 type retryBudget struct {
 	mu sync.Mutex
@@ -47,22 +51,30 @@
 
 // takeRetry reports whether a request to a service may be retried, and counts the retry if so.
 func (e *Entry) takeRetry(now time.Time, service string) bool {
-	return e.retryBudget.takeRetry(now, service, e.Bounds, e.extraSharers(now))
+	return e.retryBudget.takeRetry(now, service, e.Bounds, e.extraRetries(now))
 }
 
-// extraSharers returns the number of entries that share the extra retries; 0 if this entry may use none of them. It may use none in the
-// first window after its start, since an earlier process of its VM, or entries that count on fewer others, may have used its part.
-func (e *Entry) extraSharers(now time.Time) int {
-	if now.Sub(e.StartedAt) < e.Bounds.RetryWindow {
+// extraRetries returns the part of the extra retries that this entry may use; 0 if it does not know among how many they are shared. An
+// earlier process of its VM may have used its part just before the start.
+func (e *Entry) extraRetries(now time.Time) float64 {
+	entries := e.Entries()
+	if entries == 0 {
 		return 0
 	}
 
-	return e.Entries()
+	part := e.Bounds.RetryExtra / float64(entries)
+	age := now.Sub(e.StartedAt)
+
+	if age < e.Bounds.RetryWindow {
+		part *= startShare * float64(age) / float64(e.Bounds.RetryWindow)
+	}
+
+	return part
 }
 
-// takeRetry reports whether a request may be retried if the given number of entries share the extra retries, and counts the retry if so.
-// With 0 entries, only the ratio of the requests is allowed.
-func (b *retryBudget) takeRetry(now time.Time, service string, bounds Bounds, entries int) bool {
+// takeRetry reports whether a request may be retried if extra retries are allowed besides the ratio of the requests, and counts the retry if
+// so.
+func (b *retryBudget) takeRetry(now time.Time, service string, bounds Bounds, extra float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -70,11 +82,7 @@
 	found.requests = dropBefore(found.requests, now.Add(-bounds.RetryWindow))
 	found.retries = dropBefore(found.retries, now.Add(-bounds.RetryWindow))
 
-	allowed := bounds.RetryRatio * float64(len(found.requests))
-	if entries > 0 {
-		allowed += bounds.RetryExtra / float64(entries)
-	}
-
+	allowed := bounds.RetryRatio*float64(len(found.requests)) + extra
 	if float64(len(found.retries)+1) > allowed*entryBudgetShare {
 		return false
 	}
--- a/internal/forward/entry/budget_test.go
+++ b/internal/forward/entry/budget_test.go
@@ -25,7 +25,7 @@
 			budgets[i].countRequest(at, "s", bounds)
 
 			for range 3 {
-				if budgets[i].takeRetry(at, "s", bounds, entries) {
+				if budgets[i].takeRetry(at, "s", bounds, bounds.RetryExtra/entries) {
 					retries++
 				}
 			}
@@ -36,7 +36,7 @@
 	assert.Assert(t, retries > 0)
 
 	later := start.Add(3 * window)
-	assert.Assert(t, budgets[0].takeRetry(later, "s", bounds, entries), "retries before the window do not count")
+	assert.Assert(t, budgets[0].takeRetry(later, "s", bounds, bounds.RetryExtra/entries), "retries before the window do not count")
 }
 
 // Guards against processes of entries that together exceed the common budget in a window: those that know of no other entry, those that
@@ -74,6 +74,17 @@
 			known:   func(at time.Duration) int { return min(1+int(at/(3*time.Second)), places) },
 			extra:   true,
 		},
+		"all restart at once": {
+			startOf: func(_ int, at time.Duration) time.Duration {
+				if at < 20*time.Second {
+					return -time.Hour
+				}
+
+				return 20 * time.Second
+			},
+			known: func(time.Duration) int { return places },
+			extra: true,
+		},
 		"restarts in series": {
 			startOf: func(place int, at time.Duration) time.Duration {
 				return (at - time.Duration(place)*time.Second).Truncate(5*time.Second) + time.Duration(place)*time.Second
--- a/internal/forward/entry/links.go
+++ b/internal/forward/entry/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
@@ -49,6 +50,16 @@
 	return ok
 }
 
+// WithoutAgents reports whether the list has been read and names no model server, each of which has an agent.
+func (e *Entry) WithoutAgents() bool {
+	config := e.config.Load()
+	if config == nil || !e.Fleet.HasSynced() {
+		return false
+	}
+
+	return !slices.ContainsFunc(e.Fleet.All(), func(server fleet.Server) bool { return config.Services[server.Service].Engine != nil })
+}
+
 // syncOnce passes the model servers of the list to Links.
 func (e *Entry) syncOnce(ctx context.Context) {
 	config := e.config.Load()
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -79,5 +79,6 @@
 	gauge("quarantine.held", e.Quarantine.held)
 	gauge("servers.listed", func() int64 { return int64(len(e.Fleet.All())) })
 	gauge("agents.linked", func() int64 { return int64(e.Links.ConnectedCount()) })
-	gauge("entries.known", func() int64 { return int64(e.Links.EntryCount()) })
+	gauge("entries.known", func() int64 { return int64(e.Entries()) })
+	gauge("retries.extra", func() int64 { return int64(e.extraRetries(time.Now())) })
 }
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -178,11 +178,16 @@
 	}
 }
 
-// KnownEntries returns the largest number of entries that an agent has named lately; 0 if none has named one.
+// KnownEntries returns the largest number of entries that was named lately; 0 if none was.
 func (l *Links) KnownEntries() int {
 	return l.entries.Get(time.Now())
 }
 
+// HearEntries records the number of entries, which is known otherwise in a fleet without agents.
+func (l *Links) HearEntries(now time.Time, count int) {
+	l.entries.Hear(now, count)
+}
+
 // EntryCount returns the largest number of entries that any agent is connected to, at least 1.
 func (l *Links) EntryCount() int {
 	l.mu.Lock()
--- a/internal/forward/quota/limiter.go
+++ b/internal/forward/quota/limiter.go
@@ -48,7 +48,7 @@
 // Limiter limits the requests of client accounts at one entry. Its exported fields are set before use.
 type Limiter struct {
 	Granter Granter
-	// Entries returns the number of entries that share the accounts, as far as this entry is connected.
+	// Entries returns the number of entries that share the accounts; 0 if it is not known.
 	Entries func() int
 
 	mu       sync.Mutex
@@ -160,18 +160,22 @@
 	}
 
 	now := time.Now()
-	found.limitReserve(now, rate, burst, l.entries.Record(now, max(l.Entries(), 1)))
+	found.limitReserve(now, rate, burst, l.entries.Record(now, l.Entries()))
 
 	return found
 }
 
-// limitReserve sets the limits of the reserve to those of one of the given number of entries.
+// limitReserve sets the limits of the reserve to those of one of the given number of entries. Without a number there is no reserve.
 func (a *account) limitReserve(now time.Time, rate, burst float64, entries int) {
 	if a.reserve != nil && a.rate == rate && a.burst == burst && a.entries == entries {
 		return
 	}
 
-	share := rate * reserveShare / float64(entries)
+	share := 0.0
+	if entries > 0 {
+		share = rate * reserveShare / float64(entries)
+	}
+
 	capacity := min(burst, share*reserveWindow.Seconds())
 
 	if a.reserve == nil {
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/roster"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/watch"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
@@ -111,7 +112,7 @@
 	server.Entries = server.Links.KnownEntries
 	server.Links.OnConfigVersion = server.ObserveConfigVersion
 	server.Permits = &link.PermitClient{Links: server.Links, Entry: settings.VM}
-	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.EntryCount}
+	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.KnownEntries}
 
 	for _, follower := range []*progress.Follower{operator, listing} {
 		follower.IsReader, follower.OnPublish = server.Links.IsReader, server.Links.NotifySettings
@@ -121,6 +122,7 @@
 	server.RegisterGauges()
 
 	go server.SyncLinks(ctx)
+	go (&roster.Roster{Store: store, Name: settings.VM, Alone: server.WithoutAgents, OnCount: server.Links.HearEntries, Log: p.log}).Run(ctx)
 	go (&watch.Watcher{
 		Source: store, Topic: watch.Operator, Wait: operator.MaxAge / readsPerMaxAge, Target: server, Fleet: servers, Progress: operator, Log: p.log,
 		OnCall: p.counter("store.calls.operator"),
