Let a stream go on only at the software version that began it

Cause: no part of the programs knew the version of a server, and nothing read Resumes; a stream went on at any server, within one response and when its client came back.

Ruled out: a version that was known and stale. It can happen too, when a server starts again under its id, and is mended with it.

Change: rows name versions; an entry binds a stream to the version of its first event; agents remember which process began which attempt and are asked when a client comes back while there are several versions; what is not known is refused at once. A resumed stream is sent with the start of the process that it is meant for.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
@@ -79,6 +80,8 @@
 	// report; 0 before the first one.
 	monitor   quarantine.Monitor
 	startedAt int64
+	// origins remembers where the streams of this agent's model server began, and those that entries have recorded.
+	origins origin.Records
 	// ended is true from the end of the model server until it is recorded which responses it has broken off.
 	ended bool
 	// watchers holds the entries that watch the state.
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -86,6 +86,7 @@
 		return sender.emit(*refused)
 	}
 
+	recorder := &beginRecorder{agent: a, delivery: delivery}
 	timeToFirst := time.Duration(0)
 	last, info := a.Upstream.Exchange(ctx, a.Address, delivery, func(event message.Event) error {
 		if _, isData := event.(message.Data); isData && timeToFirst == 0 {
@@ -93,7 +94,7 @@
 			a.outputStarted(scheduled)
 		}
 
-		return sender.emit(event)
+		return sender.emit(recorder.observe(event))
 	})
 
 	a.reportExchange(delivery, exchangeReport{
@@ -109,7 +110,13 @@
 
 // scheduledRequest returns the scheduler's view of a request.
 func scheduledRequest(delivery *message.Delivery, arrived time.Time) *schedule.Request {
+	startedAt := int64(0)
+	if delivery.Bound {
+		startedAt = delivery.StartedAt
+	}
+
 	return &schedule.Request{
+		StartedAt:       startedAt,
 		Adapter:         schedule.Adapter{Model: delivery.Model, Name: delivery.Adapter},
 		MinVersion:      delivery.MinVersion,
 		InputTokens:     delivery.PromptTokens,
--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -36,6 +36,10 @@
 		SilenceMs:   d.ReadTimeout.Milliseconds(),
 		Urgency:     int32(d.Urgency),
 		Parts:       d.SharedParts,
+		Origin:      []byte(d.Origin()),
+		Software:    toText(d.ServerVersion),
+		StartMs:     d.StartedAt,
+		Bound:       d.Bound,
 	}
 }
 
@@ -54,6 +58,7 @@
 			PromptTokens:    r.GetInput(),
 			MaxOutputTokens: r.GetOutput(),
 			LastEventID:     r.GetResume(),
+			Resumes:         string(r.GetOrigin()),
 			Arrived:         now,
 		},
 		Instance:    r.GetInstance(),
@@ -65,6 +70,10 @@
 		ReadTimeout: milliseconds(r.GetSilenceMs()),
 		Urgency:     int(r.GetUrgency()),
 		SharedParts: r.GetParts(),
+
+		ServerVersion: r.GetSoftware(),
+		StartedAt:     r.GetStartMs(),
+		Bound:         r.GetBound(),
 	}
 }
 
@@ -74,7 +83,7 @@
 	case message.RequestSent:
 		return &relay.Event{Body: &relay.Event_Started{Started: &relay.Started{}}}
 	case message.ResponseStarted:
-		head := &relay.Head{Status: int32(e.Head.Status), Headers: toHeaders(e.Head.Headers)}
+		head := &relay.Head{Status: int32(e.Head.Status), Headers: toHeaders(e.Head.Headers), StartMs: e.StartedAt}
 		return &relay.Event{Body: &relay.Event_Head{Head: head}}
 	case message.Data:
 		return &relay.Event{Body: &relay.Event_Chunk{Chunk: &relay.Chunk{Data: e.Bytes}}}
@@ -103,7 +112,9 @@
 	case *relay.Event_Started:
 		return message.RequestSent{}
 	case *relay.Event_Head:
-		return message.ResponseStarted{Head: message.Head{Status: int(e.Head.GetStatus()), Headers: fromHeaders(e.Head.GetHeaders())}}
+		head := message.Head{Status: int(e.Head.GetStatus()), Headers: fromHeaders(e.Head.GetHeaders())}
+
+		return message.ResponseStarted{Head: head, StartedAt: e.Head.GetStartMs()}
 	case *relay.Event_Chunk:
 		return message.Data{Bytes: e.Chunk.GetData()}
 	case *relay.Event_End:
--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -20,6 +20,11 @@
 		return j.excluded[server.ID]
 	})
 
+	servers, err := e.ofRequiredVersion(j, servers)
+	if err != nil {
+		return fleet.Server{}, err
+	}
+
 	if j.service.Engine != nil {
 		return e.chooseModelServer(now, j, servers)
 	}
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quota"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/startup"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
@@ -81,6 +82,8 @@
 	Permits *link.PermitClient
 	// Changed wakes SyncLinks; its capacity is 1.
 	Changed chan struct{}
+	// Origins finds where streams began at other entries.
+	Origins Origins
 	// Entries returns the number of entries that share the common budgets, or a larger one; 0 if it is not known.
 	Entries func() int
 	// StartedAt is when the process started.
@@ -97,6 +100,7 @@
 	ends        pendingEnds
 	startup     startup.Gate
 	attempts    attempts
+	origins     origin.Records
 }
 
 // Apply puts a configuration in force unless the one in force is as new or newer, and reports whether it did.
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -5,7 +5,9 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 )
 
@@ -43,6 +45,12 @@
 	broken bool
 	// crash is the end of the last server, of a plain service, before its response was complete; nil if it has not ended.
 	crash *quarantine.Crash
+	// bound is true if the client has events of the stream, so that the request may only run at the version at which it began; begin is
+	// where that was.
+	bound bool
+	begin origin.Begin
+	// originSource is from whom begin is known if the client takes up the stream; empty otherwise.
+	originSource originSource
 	// runs counts the servers at which the request may have run.
 	runs int
 	// refusals counts the servers that refused the request.
@@ -125,9 +133,9 @@
 	return time.Until(j.deadline)
 }
 
-// delivery returns the request for one backend server. After the response has started, it resumes after the last event
+// delivery returns the request for one backend server and the minimum version of its adapter. After the response has started, it resumes after the last event
 // that the client has received.
-func (j *job) delivery(instance string, version int64) *message.Delivery {
+func (j *job) delivery(server fleet.Server, version int64) *message.Delivery {
 	request := *j.request
 	if j.responseStarted {
 		request.LastEventID = j.splitter.LastID
@@ -135,7 +143,7 @@
 
 	return &message.Delivery{
 		Request:     &request,
-		Instance:    instance,
+		Instance:    server.ID,
 		Account:     j.account.Name,
 		MinVersion:  version,
 		Deadline:    j.deadline,
@@ -144,5 +152,9 @@
 		ReadTimeout: j.readTimeout(),
 		Urgency:     j.urgency,
 		SharedParts: j.sharedParts,
+
+		ServerVersion: server.Version,
+		StartedAt:     server.StartedAt,
+		Bound:         j.bound,
 	}
 }
--- /dev/null
+++ b/internal/forward/entry/origin_test.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
+)
+
+// recordedOrigins knows the begins of some streams, and keeps what is recorded.
+type recordedOrigins struct {
+	known    map[string]origin.Begin
+	recorded chan string
+}
+
+func (r recordedOrigins) Find(_ context.Context, attempt string) (origin.Begin, bool) {
+	begin, ok := r.known[attempt]
+
+	return begin, ok
+}
+
+func (r recordedOrigins) Record(attempt string, _ origin.Begin) { r.recorded <- attempt }
+
+// Guards against a stream that goes on at a server of another version than the one that began it (ORDER), and against one that is refused
+// although its version is known (LOST).
+func TestServersThatMayContinueAStream(t *testing.T) {
+	servers := []fleet.Server{
+		{ID: "a", Service: "s", Version: "v1", StartedAt: 5}, {ID: "b", Service: "s", Version: "v2", StartedAt: 6},
+	}
+	known := map[string]origin.Begin{
+		"at-v1":       {Server: "a", StartedAt: 5, Version: "v1", Known: true},
+		"at-v3":       {Server: "c", StartedAt: 7, Version: "v3", Known: true},
+		"later-row":   {Server: "b", StartedAt: 6},
+		"earlier-run": {Server: "b", StartedAt: 4},
+	}
+
+	cases := map[string]struct {
+		resumes string
+		last    int64
+		want    []string
+	}{
+		"new stream":                                   {last: message.NoEventID, want: []string{"a", "b"}},
+		"began at v1":                                  {resumes: "at-v1", last: 3, want: []string{"a"}},
+		"no server of the version":                     {resumes: "at-v3", last: 3},
+		"the row came after the first event":           {resumes: "later-row", last: 3, want: []string{"b"}},
+		"the process under the id is another one":      {resumes: "earlier-run", last: 3},
+		"nobody knows the stream":                      {resumes: "unknown", last: 3},
+		"the client names events but no first attempt": {last: 3},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := testEntry(nil)
+			e.Fleet.Put(servers...)
+			e.Origins = recordedOrigins{known: known}
+
+			j := testJob(catalog.Resumable)
+			j.request.Resumes, j.request.LastEventID = c.resumes, c.last
+			e.takeUp(t.Context(), j)
+
+			got, err := e.ofRequiredVersion(j, append([]fleet.Server(nil), servers...))
+			if c.want == nil {
+				assert.Equal(t, err.Kind, fault.NoServer)
+				return
+			}
+
+			assert.Assert(t, err == nil)
+
+			var ids []string
+			for _, server := range got {
+				ids = append(ids, server.ID)
+			}
+
+			assert.DeepEqual(t, ids, c.want)
+		})
+	}
+}
+
+// Guards against a begin that no other entry can find: that of a stream which this entry broke off, and that of a stream at a service without
+// agents.
+func TestBeginsAreSharedWhereAgentsDoNotKnowThem(t *testing.T) {
+	server := fleet.Server{ID: "a", Service: "s", Version: "v1"}
+
+	cases := map[string]func(e *Entry, j *job){
+		"broken off": func(e *Entry, j *job) {
+			j.responseStarted, j.eventStream = true, true
+			e.recordBegin(j, server, 0)
+			e.fail(t.Context(), j, fault.New(fault.OutcomeUnknown, "broken off"))
+		},
+		"service without agents": func(e *Entry, j *job) {
+			j.service.Engine = nil
+			e.recordBegin(j, server, 0)
+		},
+	}
+
+	for name, begin := range cases {
+		t.Run(name, func(t *testing.T) {
+			origins := recordedOrigins{recorded: make(chan string, 1)}
+			e := testEntry(nil)
+			e.Origins = origins
+
+			j := testJob(catalog.Resumable)
+			j.sink = &brokenSink{}
+			begin(e, j)
+
+			select {
+			case attempt := <-origins.recorded:
+				assert.Equal(t, attempt, "r")
+			case <-time.After(time.Second):
+				t.Fatal("the begin is not shared")
+			}
+		})
+	}
+}
--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 )
 
@@ -30,9 +31,17 @@
 		Quarantine: &Quarantine{Log: log, Metrics: metrics.NewRegistry()},
 		Bounds:     Bounds{RetryRatio: 1, RetryExtra: 100, RetryWindow: 10 * time.Second},
 		Entries:    func() int { return 1 },
+		Fleet:      &fleet.Fleet{},
+		Origins:    noOrigins{},
 	}
 }
 
+// noOrigins knows of no stream.
+type noOrigins struct{}
+
+func (noOrigins) Find(context.Context, string) (origin.Begin, bool) { return origin.Begin{}, false }
+func (noOrigins) Record(string, origin.Begin)                       {}
+
 func testJob(policy catalog.RetryPolicy) *job {
 	request := &message.Request{ID: "r", Method: "POST", Target: "/a/", LastEventID: message.NoEventID, Arrived: time.Now()}
 	route := catalog.Route{
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -32,6 +32,8 @@
 // reportEnd logs and counts the outcome of a request that was sent or for which no server was found; a nil error means that
 // the response is complete.
 func (e *Entry) reportEnd(j *job, err *fault.Error) {
+	e.reportTakenUp(j, err)
+
 	age, _ := e.Freshness.SharedAge()
 	took := time.Since(j.request.Arrived)
 
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -49,6 +49,7 @@
 // run sends the request to one server after the other until one responds or the request fails.
 func (e *Entry) run(ctx context.Context, j *job) {
 	e.retryBudget.countRequest(time.Now(), j.service.Name, e.Bounds)
+	e.takeUp(ctx, j)
 
 	for {
 		server, err := e.choose(ctx, j)
@@ -164,7 +165,12 @@
 	}
 
 	if j.responseStarted {
+		if j.bound {
+			e.shareBegin(j)
+		}
+
 		j.sink.Abort()
+
 		return
 	}
 
@@ -179,7 +185,7 @@
 		j.splitter.Resume()
 	}
 
-	response := &response{entry: e, job: j}
+	response := &response{entry: e, job: j, server: server}
 
 	var last message.Event
 	if j.service.Engine != nil {
@@ -202,8 +208,11 @@
 
 // response forwards the events of the response of one server to the client.
 type response struct {
-	entry *Entry
-	job   *job
+	entry  *Entry
+	job    *job
+	server fleet.Server
+	// startedAt is the start of the process that responds, in Unix milliseconds; 0 if it is not known.
+	startedAt int64
 	// status is the status that the server sent; 0 before the head.
 	status int
 	// begun is true after the first whole event, or the first byte of another body.
@@ -228,6 +237,8 @@
 func (r *response) handle(event message.Event) error {
 	switch e := event.(type) {
 	case message.ResponseStarted:
+		r.startedAt = e.StartedAt
+
 		return r.handleHead(e.Head)
 	case message.Data:
 		return r.handleData(e.Bytes)
@@ -299,6 +310,10 @@
 	if !r.begun && r.status == http.StatusOK {
 		r.begun = true
 		r.entry.Quarantine.recordLoaded(r.job)
+
+		if r.job.route.Stream && r.job.eventStream {
+			r.entry.recordBegin(r.job, r.server, r.startedAt)
+		}
 	}
 
 	if r.job.timeToFirst == 0 {
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -34,7 +34,7 @@
 	defer e.plainLoads.end(server.ID)
 
 	sentAt := time.Now()
-	last, info := e.PlainClient.Exchange(ctx, server.Address, j.delivery(server.ID, 0), emit)
+	last, info := e.PlainClient.Exchange(ctx, server.Address, j.delivery(server, 0), emit)
 
 	if info != nil && info.Framing != "" {
 		metric.Count(e.Metrics, "response.framing."+string(info.Framing))
@@ -94,7 +94,7 @@
 	defer timer.Stop()
 
 	version := e.minVersions.get(link.Adapter{Model: j.request.Model, Name: j.request.Adapter})
-	request := convert.DeliveryToWire(time.Now(), j.delivery(server.ID, version))
+	request := convert.DeliveryToWire(time.Now(), j.delivery(server, version))
 
 	e.Links.RecordSent(server.ID, j.request.PromptTokens)
 
--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -21,6 +21,8 @@
 	// StartedAt is when the server process started, in Unix milliseconds; 0 if it is not known. A server may start again under
 	// the id that it had.
 	StartedAt int64
+	// Version is the version of the server's software. Only the exact text tells two versions apart.
+	Version string
 	// Vanished is true if the server is no longer listed and stays in use only for a while, because its row may have expired during
 	// an outage of the store. It is set by All.
 	Vanished bool
@@ -49,8 +51,11 @@
 	left map[string]departure
 	// evacuations holds the evacuations by failure domain.
 	evacuations map[string]Evacuation
-	// synced is true once the list was read.
-	synced bool
+	// versions holds when a version of a service was last listed by a server that has another one now, or is gone.
+	versions map[versionKey]time.Time
+	// synced is true once the list was read, and syncedAt is when.
+	synced   bool
+	syncedAt time.Time
 }
 
 // Put adds or updates servers, and reports whether that changed the list.
@@ -64,16 +69,25 @@
 		f.removeAt = map[string]time.Time{}
 	}
 
+	now := time.Now()
+
 	for _, server := range servers {
 		_, removing := f.removeAt[server.ID]
 		changed = changed || removing || f.servers[server.ID] != server
 
+		if before, ok := f.servers[server.ID]; ok && before.Version != server.Version {
+			f.recordVersion(now, before)
+		}
+
 		f.servers[server.ID] = server
 		delete(f.removeAt, server.ID)
 		delete(f.left, server.ID)
 	}
 
-	f.synced = true
+	if !f.synced {
+		f.synced, f.syncedAt = true, now
+	}
+
 	f.mu.Unlock()
 
 	if changed {
@@ -114,6 +128,7 @@
 		f.left = map[string]departure{}
 	}
 
+	f.recordVersion(now, f.servers[id])
 	f.left[id] = departure{startedAt: f.servers[id].StartedAt, at: now}
 
 	delete(f.servers, id)
--- a/internal/forward/message/event.go
+++ b/internal/forward/message/event.go
@@ -13,6 +13,8 @@
 // ResponseStarted carries the head of the response.
 type ResponseStarted struct {
 	Head Head
+	// StartedAt is the start of the process of the backend server in Unix milliseconds; 0 if it is not known.
+	StartedAt int64
 }
 
 // Data is a piece of the response body.
--- a/internal/forward/message/message.go
+++ b/internal/forward/message/message.go
@@ -47,12 +47,29 @@
 	PromptParts     []PromptPart
 	// LastEventID is the id of the last event that the client has received, or NoEventID.
 	LastEventID int64
+	// Resumes is the id of the client's attempt that brought the first event of the stream which the request takes up; empty if it takes up
+	// none.
+	Resumes string
 	// Timeout is how long the client waits for the response; 0 if the client does not state it.
 	Timeout time.Duration
 	// Arrived is when the request head was received.
 	Arrived time.Time
 }
 
+// Origin returns the id under which the begin of the stream is remembered: that of the attempt that brought the first event.
+func (r *Request) Origin() string {
+	if r.Resumes != "" {
+		return r.Resumes
+	}
+
+	return r.ID
+}
+
+// TakesUp reports whether the request takes up a stream of which the client has events.
+func (r *Request) TakesUp() bool {
+	return r.Resumes != "" || r.LastEventID != NoEventID
+}
+
 // Delivery is a request with the parameters for sending it to one backend server.
 type Delivery struct {
 	*Request
@@ -73,6 +90,12 @@
 	MaxWait time.Duration
 	// Urgency is the priority in the queue; 0 is the most urgent.
 	Urgency int
+	// ServerVersion is the software version of the server, and StartedAt the start of its process in Unix milliseconds, both as it is
+	// listed.
+	ServerVersion string
+	StartedAt     int64
+	// Bound is true if only this process may run the request, because the client has events of its version.
+	Bound bool
 }
 
 // Head is the status and the headers of a response.
--- /dev/null
+++ b/internal/forward/origin/origin_test.go
@@ -0,0 +1,60 @@
+package origin_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
+)
+
+// Guards against a version that is taken from a row of an earlier process under the same id (ORDER).
+func TestVersionOfARowCountsForItsOwnProcessOnly(t *testing.T) {
+	cases := map[string]struct {
+		listedAt, ranAt int64
+		want            origin.Begin
+	}{
+		"same process":             {5, 5, origin.Begin{Server: "i", StartedAt: 5, Version: "v1", Known: true}},
+		"restarted under the id":   {5, 9, origin.Begin{Server: "i", StartedAt: 9}},
+		"start of the run unknown": {5, 0, origin.Begin{Server: "i", StartedAt: 5, Version: "v1", Known: true}},
+		"row names no start":       {0, 9, origin.Begin{Server: "i", StartedAt: 9, Version: "v1", Known: true}},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, origin.Of("i", "v1", c.listedAt, c.ranAt), c.want)
+		})
+	}
+}
+
+// Guards against records that grow without bound, are forgotten too early, or hold an earlier server that sent nothing.
+func TestRecords(t *testing.T) {
+	start := time.Unix(1000, 0)
+
+	var records origin.Records
+
+	records.Put(start, "a", origin.Begin{Version: "v1", Known: true})
+	records.Put(start.Add(time.Second), "a", origin.Begin{Version: "v2", Known: true})
+	records.Put(start, "", origin.Begin{Version: "v1", Known: true})
+	records.Put(start, strings.Repeat("x", 1000), origin.Begin{Version: "v1", Known: true})
+
+	got, ok := records.Get(start.Add(time.Minute), "a")
+	assert.Assert(t, ok)
+	assert.Equal(t, got.Version, "v2")
+	assert.Equal(t, records.Count(), 1)
+
+	_, ok = records.Get(start.Add(time.Hour), "a")
+	assert.Assert(t, !ok)
+
+	for i := range 1 << 15 {
+		records.Put(start, strconv.Itoa(i), origin.Begin{})
+	}
+
+	assert.Equal(t, records.Count(), 1<<14)
+
+	records.Put(start.Add(time.Hour), "late", origin.Begin{})
+	assert.Equal(t, records.Count(), 1)
+}
--- a/internal/forward/schedule/request.go
+++ b/internal/forward/schedule/request.go
@@ -15,6 +15,8 @@
 // Request is a request that waits in the queue or runs at the model server.
 type Request struct {
 	Adapter Adapter
+	// StartedAt is the start of the only process of the server that may run the request, in Unix milliseconds; 0 for any.
+	StartedAt int64
 	// MinVersion is the oldest adapter version on which the request may run; 0 for any.
 	MinVersion int64
 	// InputTokens is the number of prompt tokens, and MaxOutputTokens the maximum number of output tokens.
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -141,6 +141,11 @@
 	s.closed = true
 }
 
+// ServerStart returns the start of the server's process in Unix milliseconds; 0 before its first report.
+func (s *Scheduler) ServerStart() int64 {
+	return s.report.StartedAt
+}
+
 // Configured reports whether the limits are known.
 func (s *Scheduler) Configured() bool {
 	return len(s.limits.Models) > 0
@@ -268,6 +273,8 @@
 		return fault.New(fault.Draining, "the backend server is draining")
 	case s.isDelisted(now):
 		return fault.New(fault.Draining, "the backend server is no longer listed")
+	case request.StartedAt != 0 && s.report.StartedAt != 0 && request.StartedAt != s.report.StartedAt:
+		return fault.New(fault.NoServer, "the backend server has started again, and the request goes on from the earlier process")
 	case s.resting:
 		return fault.New(fault.Overloaded, "the backend server takes no requests for a while").WithRetryAfter(s.notices.RestLeft(now))
 	case now.After(request.Expires):
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -110,6 +110,7 @@
 	server.Quarantine.OnCrash = func(crash quarantine.Crash) { go server.Links.ReportCrash(settings.VM, crash) }
 	server.Links.OnLimits = server.AdoptLimits
 	server.Entries = server.Links.KnownEntries
+	server.Origins = &link.OriginClient{Links: server.Links, Entry: settings.VM}
 	server.Links.OnConfigVersion = server.ObserveConfigVersion
 	server.Permits = &link.PermitClient{Links: server.Links, Entry: settings.VM}
 	server.Limiter = &quota.Limiter{Granter: &link.GrantClient{Links: server.Links, Entry: settings.VM}, Entries: server.Links.KnownEntries}
