Tell starting entries whether a service has had one version

Cause: an entry could not tell that no other version was listed before it read the list.

Ruled out: one version taken for the only one from the list alone; a server of another version may have left within the minute.

Change: an entry that starts with the whole system knows it at once.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -82,6 +82,8 @@
 	startedAt int64
 	// origins remembers where the streams of this agent's model server began, and those that entries have recorded.
 	origins origin.Records
+	// history holds the software versions of the servers of the service, as entries know them.
+	history origin.History
 	// ended is true from the end of the model server until it is recorded which responses it has broken off.
 	ended bool
 	// watchers holds the entries that watch the state.
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -35,6 +35,8 @@
 		ConfigVersion:     a.configVersion,
 	}
 
+	wire.Software, wire.Sole = a.history.Sole()
+
 	if confirmation, ok := a.operator.Get(); ok {
 		wire.Operator = convert.ConfirmationToWire(confirmation, &w.peer)
 	}
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -101,6 +101,9 @@
 	startup     startup.Gate
 	attempts    attempts
 	origins     origin.Records
+	soleClaims  soleClaims
+	// toldVersions holds the software versions of each service that agents were told last; SyncLinks uses it.
+	toldVersions map[string][]string
 }
 
 // Apply puts a configuration in force unless the one in force is as new or newer, and reports whether it did.
--- a/internal/forward/entry/links.go
+++ b/internal/forward/entry/links.go
@@ -29,6 +29,8 @@
 
 // SyncLinks keeps one link to the agent of each listed model server until the context ends.
 func (e *Entry) SyncLinks(ctx context.Context) {
+	e.toldVersions = map[string][]string{}
+
 	for ctx.Err() == nil {
 		e.syncOnce(ctx)
 		e.confirmEnds()
@@ -76,6 +78,27 @@
 	}
 
 	e.Links.Sync(ctx, modelServers)
+
+	if e.versionsChanged(config) {
+		e.Links.NotifySettings()
+	}
+}
+
+// versionsChanged reports whether the software versions of the services have changed since the last call.
+func (e *Entry) versionsChanged(config *catalog.Config) bool {
+	now := time.Now()
+	changed := false
+
+	for name := range config.Services {
+		versions, _ := e.Fleet.Versions(now, name)
+		if !slices.Equal(versions, e.toldVersions[name]) {
+			changed = true
+		}
+
+		e.toldVersions[name] = versions
+	}
+
+	return changed
 }
 
 // AgentSettings returns the settings for the agent of a model server; false if the server is not in the configuration.
--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -42,6 +42,8 @@
 type Fleet struct {
 	// OnChange is called after each change of the list, without the lock held; it may be nil.
 	OnChange func()
+	// FromStart is true if no stream can be older than this list, because the whole system has just started.
+	FromStart bool
 
 	mu      sync.Mutex
 	servers map[string]Server
@@ -53,6 +55,8 @@
 	evacuations map[string]Evacuation
 	// versions holds when a version of a service was last listed by a server that has another one now, or is gone.
 	versions map[versionKey]time.Time
+	// earlier holds the services of which all versions before syncedAt are known.
+	earlier map[string]bool
 	// synced is true once the list was read, and syncedAt is when.
 	synced   bool
 	syncedAt time.Time
--- a/internal/forward/fleet/versions_test.go
+++ b/internal/forward/fleet/versions_test.go
@@ -18,10 +18,21 @@
 	}
 
 	cases := map[string]struct {
-		change func(f *fleet.Fleet)
-		after  time.Duration
-		want   bool
+		fromStart bool
+		change    func(f *fleet.Fleet)
+		after     time.Duration
+		want      bool
 	}{
+		"since the system has started": {fromStart: true, want: true},
+		"adopted":                      {change: func(f *fleet.Fleet) { f.AdoptVersion(time.Now(), "chat", "v1") }, want: true},
+		"adopted, but another one is listed": {change: func(f *fleet.Fleet) {
+			f.Put(server("b", "chat", "v2"))
+			f.AdoptVersion(time.Now(), "chat", "v1")
+		}},
+		"adopted, and another one comes": {change: func(f *fleet.Fleet) {
+			f.AdoptVersion(time.Now(), "chat", "v1")
+			f.Put(server("b", "chat", "v2"))
+		}},
 		"one version":                  {after: 2 * time.Minute, want: true},
 		"the list is new":              {after: 10 * time.Second},
 		"another service":              {change: func(f *fleet.Fleet) { f.Put(server("p", "desk", "v2")) }, after: 2 * time.Minute, want: true},
@@ -38,7 +49,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := &fleet.Fleet{}
+				f := &fleet.Fleet{FromStart: c.fromStart}
 				f.Put(server("a", "chat", "v1"))
 
 				if c.change != nil {
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -51,6 +51,12 @@
 	Quarantine Quarantine
 	// OnLimits is called with the limits of servers of plain services that an agent holds; may be nil.
 	OnLimits func(statements []throttle.Statement)
+	// Versions returns the software versions of the servers of a service within the last minute, and whether there were no others; may be
+	// nil.
+	Versions func(service string) (versions []string, complete bool)
+	// OnSoleVersion is called with the only software version of the servers of a service before this entry has read the list, as the agent of
+	// a server knows it; may be nil.
+	OnSoleVersion func(server fleet.Server, version string)
 	// OnConfigVersion is called with the newest version of the configuration that an agent knows; may be nil.
 	OnConfigVersion func(server string, version int64)
 	Log             logrus.FieldLogger
@@ -319,6 +325,8 @@
 			l.OnConfigVersion(agent.id, state.GetConfigVersion())
 		}
 
+		l.receiveSoleVersion(agent, state)
+
 		if first {
 			close(clockKnown)
 		}
--- a/internal/forward/link/origin.go
+++ b/internal/forward/link/origin.go
@@ -18,6 +18,19 @@
 	originHolders = 2
 )
 
+// receiveSoleVersion passes on the only version that the servers of a service have had, as an agent knows it.
+func (l *Links) receiveSoleVersion(agent *link, state *relay.State) {
+	if l.OnSoleVersion == nil || !state.GetSole() {
+		return
+	}
+
+	l.mu.Lock()
+	server := agent.server
+	l.mu.Unlock()
+
+	l.OnSoleVersion(server, state.GetSoftware())
+}
+
 // OriginClient asks agents at which process of a backend server streams began.
 type OriginClient struct {
 	Links *Links
--- a/internal/forward/link/settings.go
+++ b/internal/forward/link/settings.go
@@ -82,6 +82,15 @@
 	settings.Servers = publication(l.Servers, stream.peer)
 	settings.Sound = l.soundSuspects(agent, stream)
 	settings.Holds = l.holdsToSend(stream)
+
+	if l.Versions != nil {
+		l.mu.Lock()
+		service := agent.server.Service
+		l.mu.Unlock()
+
+		settings.Versions, settings.Complete = l.Versions(service)
+	}
+
 	stream.version, stream.sent = settings.GetConfigVersion(), true
 
 	return stream.Send(settings)
--- a/internal/forward/origin/origin_test.go
+++ b/internal/forward/origin/origin_test.go
@@ -30,6 +30,40 @@
 	}
 }
 
+// Guards against a version that counts as the only one although an entry has seen another one, or none has seen all (ORDER).
+func TestHistory(t *testing.T) {
+	type statement struct {
+		versions []string
+		complete bool
+	}
+
+	cases := map[string]struct {
+		stated []statement
+		sole   bool
+	}{
+		"nothing":                        {},
+		"all of one version":             {[]statement{{[]string{"v1"}, true}}, true},
+		"not all are known":              {[]statement{{[]string{"v1"}, false}}, false},
+		"two versions":                   {[]statement{{[]string{"v1", "v2"}, true}}, false},
+		"an entry that started sees two": {[]statement{{[]string{"v1"}, true}, {[]string{"v1", "v2"}, false}}, false},
+		"an entry that started sees one": {[]statement{{[]string{"v1"}, true}, {[]string{"v1"}, false}}, true},
+		"the other version is gone":      {[]statement{{[]string{"v1", "v2"}, true}, {[]string{"v2"}, true}}, true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var history origin.History
+
+			for _, s := range c.stated {
+				history.Observe(s.versions, s.complete)
+			}
+
+			_, sole := history.Sole()
+			assert.Equal(t, sole, c.sole)
+		})
+	}
+}
+
 // Guards against records that grow without bound, are forgotten too early, or hold an earlier server that sent nothing.
 func TestRecords(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -75,7 +75,7 @@
 	settings := p.settings
 	pool := conn.New(conn.Dialer(upstream.DialTCP))
 	store := platform.NewStore(settings.StoreAddress)
-	servers := &fleet.Fleet{}
+	servers := &fleet.Fleet{FromStart: settings.FirstStart}
 
 	operator, listing := p.newFollowers()
 
@@ -110,6 +110,8 @@
 	server.Quarantine.OnCrash = func(crash quarantine.Crash) { go server.Links.ReportCrash(settings.VM, crash) }
 	server.Links.OnLimits = server.AdoptLimits
 	server.Entries = server.Links.KnownEntries
+	server.Links.OnSoleVersion = server.ObserveSoleVersion
+	server.Links.Versions = func(service string) ([]string, bool) { return servers.Versions(time.Now(), service) }
 	server.Origins = &link.OriginClient{Links: server.Links, Entry: settings.VM}
 	server.Links.OnConfigVersion = server.ObserveConfigVersion
 	server.Permits = &link.PermitClient{Links: server.Links, Entry: settings.VM}
