Take no request that may be cut off at the end of the grace period

Cause: an entry that stops looked at what was under way, not at what it still took; and net/http drops requests that it reads during a shutdown.

Ruled out: requests that wait at an agent which stops; they are refused at the signal.

Change: a request is passed on only if it ends before the process does, by its deadline or the longest response of its route of late; others are refused at once. The server is shut down only when nothing is under way.

--- /dev/null
+++ b/internal/forward/entry/drain.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/peak"
+)
+
+const (
+	// durationMemory is how long the duration of a response is remembered at least.
+	durationMemory = time.Minute
+	// drainRetry is the retry delay of a request that is refused because this entry stops; another entry takes it at once.
+	drainRetry = 100 * time.Millisecond
+)
+
+// drain is the end of the process, once it has been announced.
+type drain struct {
+	mu sync.Mutex
+	// end is when requests under way are cut off; zero while the process is not draining.
+	end time.Time
+}
+
+// begin announces the end.
+func (d *drain) begin(end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.end = end
+}
+
+// left returns the time until requests under way are cut off; false while the process is not draining.
+func (d *drain) left(now time.Time) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.end.Sub(now), !d.end.IsZero()
+}
+
+// durations holds how long the responses of each route have taken at most of late.
+type durations struct {
+	mu sync.Mutex
+	// longest is keyed by route, in milliseconds.
+	longest map[string]*peak.Peak
+}
+
+// record adds the duration of a complete response.
+func (d *durations) record(now time.Time, route string, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.longest == nil {
+		d.longest = map[string]*peak.Peak{}
+	}
+
+	if d.longest[route] == nil {
+		d.longest[route] = &peak.Peak{Retention: durationMemory}
+	}
+
+	d.longest[route].Record(now, int(took.Milliseconds())+1)
+}
+
+// expected returns the longest duration of a response of a route of late; false if none is remembered.
+func (d *durations) expected(now time.Time, route string) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	found := d.longest[route]
+	if found == nil {
+		return 0, false
+	}
+
+	longest := found.Get(now)
+
+	return time.Duration(longest) * time.Millisecond, longest > 0
+}
+
+// checkDrain refuses a request that may still be under way when this process ends. By its deadline it has an answer in any case.
+func (e *Entry) checkDrain(j *job) *fault.Error {
+	now := time.Now()
+
+	left, draining := e.drain.left(now)
+	if !draining {
+		return nil
+	}
+
+	needed := j.remaining()
+	if expected, ok := e.durations.expected(now, j.route.Name); ok {
+		needed = min(needed, expected)
+	}
+
+	if needed <= left {
+		return nil
+	}
+
+	return fault.New(fault.Draining, "the entry stops in %d ms, and the response may take %d ms", left.Milliseconds(), needed.Milliseconds()).WithRetryAfter(drainRetry)
+}
--- /dev/null
+++ b/internal/forward/entry/drain_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
+)
+
+// Guards against a request that is taken although it may be cut off at the end of the process, and against the refusal of one that ends before
+// (LOST).
+func TestRequestsOfADrainingEntry(t *testing.T) {
+	cases := map[string]struct {
+		// left is the time until the end of the process; 0 if it is not draining.
+		left     time.Duration
+		deadline time.Duration
+		took     []time.Duration
+		refused  bool
+	}{
+		"not draining":                    {deadline: time.Minute},
+		"ends by its deadline":            {left: 5 * time.Second, deadline: time.Second},
+		"deadline after the end, unknown": {left: 5 * time.Second, deadline: 10 * time.Second, refused: true},
+		"ends by the time it takes":       {left: 5 * time.Second, deadline: 10 * time.Second, took: []time.Duration{time.Second, 3 * time.Second}},
+		"the longest may be cut":          {left: 5 * time.Second, deadline: 10 * time.Second, took: []time.Duration{time.Second, 6 * time.Second}, refused: true},
+		"after the end":                   {left: -time.Second, deadline: time.Second, refused: true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := testEntry(nil)
+			j := testJob(catalog.AtMostOnce)
+			j.deadline = time.Now().Add(c.deadline)
+
+			for _, took := range c.took {
+				e.durations.record(time.Now(), j.route.Name, took)
+			}
+
+			if c.left != 0 {
+				e.Drain(time.Now().Add(c.left))
+			}
+
+			err := e.checkDrain(j)
+			assert.Equal(t, err != nil, c.refused)
+
+			if err != nil {
+				assert.Equal(t, err.Kind, fault.Draining)
+				assert.Equal(t, err.RetryDelay(), drainRetry)
+			}
+		})
+	}
+}
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -90,7 +90,8 @@
 	StartedAt time.Time
 
 	config      atomic.Pointer[catalog.Config]
-	draining    atomic.Bool
+	drain       drain
+	durations   durations
 	minVersions minVersions
 	retryBudget retryBudget
 	plainLoads  plainLoads
@@ -142,15 +143,17 @@
 	e.minVersions.require(link.Adapter{Model: model, Name: adapter}, version)
 }
 
-// Drain makes Ready report false for the rest of the process. Requests are still served, while those at an entry of
-// internal/entry are refused once it is draining.
-func (e *Entry) Drain() {
-	e.draining.Store(true)
+// Drain makes Ready report false for the rest of the process, which cuts off at the given time what is under way. Requests that may
+// end before are still served, while all those at an entry of internal/entry are refused once it is draining.
+func (e *Entry) Drain(end time.Time) {
+	e.drain.begin(end)
 }
 
 // Draining reports whether Drain was called.
 func (e *Entry) Draining() bool {
-	return e.draining.Load()
+	_, draining := e.drain.left(time.Now())
+
+	return draining
 }
 
 // Ready reports whether clients should be routed to this entry, and the reason if not. An entry without a recent confirmation of
@@ -159,7 +162,7 @@
 	age, known := e.Freshness.SharedAge()
 
 	switch {
-	case e.draining.Load():
+	case e.Draining():
 		return false, "draining"
 	case e.config.Load() == nil || !known:
 		return false, "no configuration"
@@ -232,7 +235,11 @@
 		}
 	}
 
-	// A request that is kept from the servers costs its account nothing.
+	// A request that is refused here costs its account nothing.
+	if err := e.checkDrain(j); err != nil {
+		return nil, err
+	}
+
 	if err := e.Quarantine.check(j); err != nil {
 		return nil, err
 	}
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -66,7 +66,10 @@
 
 		switch outcome := e.send(ctx, j, server).(type) {
 		case message.Completed:
+			now := time.Now()
+			e.durations.record(now, j.route.Name, now.Sub(j.request.Arrived))
 			e.reportEnd(j, nil)
+
 			return
 		case message.Refused:
 			if !e.afterRefusal(ctx, j, server, outcome) {
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -38,6 +38,8 @@
 	bodyMemoryShare = 8
 	// graceMargin is the part of the grace period that is reserved for the exit of the process.
 	graceMargin = 500 * time.Millisecond
+	// closeTimeout limits the close of the connections that are left at the end.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Entry runs the entry process, which serves clients.
@@ -203,19 +205,31 @@
 	case <-ctx.Done():
 	}
 
+	p.drainClients(ctx, server, clients, connections)
+
+	return nil
+}
+
+// drainClients answers the requests of clients until none is under way or the grace period is over, and closes the listener once the
+// platform sends no new clients. net/http would drop requests that arrive during a shutdown, so that it is shut down last.
+func (p *process) drainClients(ctx context.Context, server *entry.Entry, clients *http.Server, connections *graceful.Listener) {
+	end := time.Now().Add(p.settings.Bounds.GracePeriod - graceMargin)
+
 	p.log.Info("process is stopping")
-	server.Drain()
+	server.Drain(end)
 	clients.SetKeepAlivesEnabled(false)
-	time.Sleep(drainDelay)
-
-	shutdownTimeout := max(p.settings.Bounds.GracePeriod-drainDelay-graceMargin, 0)
+	time.Sleep(min(drainDelay, time.Until(end)))
 
-	shutdownContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	draining, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
 	defer cancel()
 
-	err = clients.Shutdown(shutdownContext)
-	connections.Wait(shutdownContext)
-	p.log.WithError(err).Info("process stopped")
+	_ = connections.Close()
+	connections.WaitInactive(draining)
 
-	return nil
+	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer stop()
+
+	err := clients.Shutdown(closing)
+	connections.Wait(closing)
+	p.log.WithError(err).Info("process stopped")
 }
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// pollInterval is the time between two looks at the connections that Wait waits for.
+// pollInterval is the time between two looks at the connections that Wait and WaitInactive wait for.
 const pollInterval = 10 * time.Millisecond
 
 // Listener accepts connections whose close waits while they have a request. Its ObserveState is to be the ConnState of the server.
@@ -22,6 +22,8 @@
 	mu sync.Mutex
 	// closing holds the connections that are to be closed as soon as it is known that they have no request, or after it.
 	closing map[*conn]bool
+	// active holds the connections that have a request.
+	active map[*conn]bool
 }
 
 // Accept implements net.Listener.
@@ -36,15 +38,53 @@
 
 // ObserveState records the state of a connection; it is the ConnState of an http.Server.
 func (l *Listener) ObserveState(accepted net.Conn, state http.ConnState) {
-	if c, ok := accepted.(*conn); ok {
-		c.setIdle(state == http.StateIdle || state == http.StateNew)
+	c, ok := accepted.(*conn)
+	if !ok {
+		return
 	}
+
+	c.setIdle(state == http.StateIdle || state == http.StateNew)
+	l.setActive(c, state == http.StateActive)
+}
+
+// WaitInactive returns when no connection has a request, or when the context ends. Unlike http.Server.Shutdown, it lets the server answer
+// requests that arrive meanwhile.
+func (l *Listener) WaitInactive(ctx context.Context) {
+	poll(ctx, func() bool { return l.activeCount() == 0 })
+}
+
+func (l *Listener) activeCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return len(l.active)
+}
+
+func (l *Listener) setActive(c *conn, active bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if !active {
+		delete(l.active, c)
+		return
+	}
+
+	if l.active == nil {
+		l.active = map[*conn]bool{}
+	}
+
+	l.active[c] = true
 }
 
 // Wait returns when no connection is about to be closed, or when the context ends. http.Server.Shutdown does not wait for connections that it
 // has closed as idle.
 func (l *Listener) Wait(ctx context.Context) {
-	for l.closingCount() > 0 {
+	poll(ctx, func() bool { return l.closingCount() == 0 })
+}
+
+// poll returns when done is true, or when the context ends.
+func poll(ctx context.Context, done func() bool) {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return
