--- a/internal/forward/entry/origin.go
+++ b/internal/forward/entry/origin.go
@@ -149,7 +149,7 @@
 	}
 
 	e.Log.WithFields(logrus.Fields{
-		"request": j.request.ID, "origin": j.request.Origin(), "version": j.begin.Version, "known": j.begin.Known, "from": j.originSource,
+		fieldRequest: j.request.ID, "origin": j.request.Origin(), "version": j.begin.Version, "known": j.begin.Known, "from": j.originSource,
 		"age": age, "servers": j.servers, "outcome": outcome,
 	}).Info("stream taken up")
 }
--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -208,7 +208,7 @@
 
 	if trial != "" {
 		j.tried = trial
-		q.logSubject(trial).WithField("request", j.request.ID).Info("subject tried")
+		q.logSubject(trial).WithField(fieldRequest, j.request.ID).Info("subject tried")
 	}
 
 	return nil
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -10,6 +10,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 )
 
+// fieldRequest is the log field with the id of a request.
+const fieldRequest = "request"
+
 // reportRefusal logs and counts the outcome of a request that was refused before it was sent anywhere.
 func (e *Entry) reportRefusal(request *message.Request, err *fault.Error) {
 	age, _ := e.Freshness.SharedAge()
@@ -24,7 +27,7 @@
 
 	metric.Count(e.Metrics, "request.refused."+string(err.Kind))
 	e.Log.WithFields(logrus.Fields{
-		"request": request.ID, "host": request.Host, "path": request.Path, "account": account, "config": version, "age": age.Milliseconds(),
+		fieldRequest: request.ID, "host": request.Host, "path": request.Path, "account": account, "config": version, "age": age.Milliseconds(),
 		"kind": err.Kind, "retry": err.RetryDelay().Milliseconds(), "detail": err.Message,
 	}).Info("request refused")
 }
@@ -38,7 +41,7 @@
 	took := time.Since(j.request.Arrived)
 
 	entry := e.Log.WithFields(logrus.Fields{
-		"request": j.request.ID, "route": j.route.Name, "service": j.service.Name, "account": j.account.Name,
+		fieldRequest: j.request.ID, "route": j.route.Name, "service": j.service.Name, "account": j.account.Name,
 		"adapter": j.request.Adapter, "config": j.config.Version, "age": age.Milliseconds(), "servers": j.servers,
 		"expected": j.expectedWait.Milliseconds(), "first": j.timeToFirst.Milliseconds(), "took": took.Milliseconds(),
 		"last": j.splitter.LastID, "status": j.status,
--- a/internal/forward/roster/roster_test.go
+++ b/internal/forward/roster/roster_test.go
@@ -38,7 +38,7 @@
 }
 
 func (m *memoryStore) Entries(context.Context) ([]Row, error) {
-	var rows []Row
+	rows := make([]Row, 0, len(m.rows))
 	for name, version := range m.rows {
 		rows = append(rows, Row{Name: name, Version: version})
 	}
@@ -126,7 +126,7 @@
 }
 
 func keys(rows map[string]int64) []string {
-	var names []string
+	names := make([]string, 0, len(rows))
 	for name := range rows {
 		names = append(names, name)
 	}
