Bound a body without events on a streaming route

Cause: bytes without events and the time without one were bounded by the content type that the server states, not by what the route promises.

Ruled out: other content on other routes, which has no events.

--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -40,6 +40,7 @@
 		Software:    toText(d.ServerVersion),
 		StartMs:     d.StartedAt,
 		Bound:       d.Bound,
+		Stream:      d.Stream,
 	}
 }
 
@@ -74,6 +75,7 @@
 		ServerVersion: r.GetSoftware(),
 		StartedAt:     r.GetStartMs(),
 		Bound:         r.GetBound(),
+		Stream:        r.GetStream(),
 	}
 }
 
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -156,5 +156,6 @@
 		ServerVersion: server.Version,
 		StartedAt:     server.StartedAt,
 		Bound:         j.bound,
+		Stream:        j.route.Stream,
 	}
 }
--- a/internal/forward/framing/body.go
+++ b/internal/forward/framing/body.go
@@ -20,18 +20,20 @@
 	Kind Kind
 	// EventStream is true if the body is a stream of server-sent events.
 	EventStream bool
+	// EventsDue is true if the body is to be one, so that only whole events are progress although its head does not say so.
+	EventsDue bool
 
 	// received is true after the first bytes.
 	received bool
 	progress events.Progress
 }
 
-// Scan reports whether the bytes are progress: any bytes, or the end of an event in a stream. It returns an error if an event is too
-// long.
+// Scan reports whether the bytes are progress: any bytes, or the end of an event where events are due. It returns an error if an event is
+// too long.
 func (b *Body) Scan(data []byte) (bool, error) {
 	b.received = b.received || len(data) > 0
 
-	if !b.EventStream {
+	if !b.EventStream && !b.EventsDue {
 		return true, nil
 	}
 
--- a/internal/forward/message/message.go
+++ b/internal/forward/message/message.go
@@ -94,6 +94,8 @@
 	// listed.
 	ServerVersion string
 	StartedAt     int64
+	// Stream is true if the response is to be a stream of events, whatever its head states.
+	Stream bool
 	// Bound is true if only this process may run the request, because the client has events of its version.
 	Bound bool
 }
--- a/internal/forward/upstream/endless_test.go
+++ b/internal/forward/upstream/endless_test.go
@@ -68,16 +68,21 @@
 
 	block := strings.Repeat("x", 32<<10)
 
-	cases := map[string]struct{ start, piece string }{
-		"status line":             {start: "", piece: block},
-		"header line":             {start: head + "X: ", piece: block},
-		"header lines":            {start: head, piece: strings.Repeat("X: y\r\n", 4<<10)},
-		"informational responses": {start: "", piece: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<10)},
-		"chunk size":              {start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: strings.Repeat("0", 32<<10)},
-		"trailer":                 {start: head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", piece: block},
-		"body of a refusal":       {start: "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\n\r\n", piece: block},
-		"body for another":        {start: "HTTP/1.1 200 OK\r\nId: other\r\nMark: 1\r\n\r\n", piece: block},
-		"event":                   {start: head + "Content-Type: text/event-stream\r\n\r\ndata: ", piece: block},
+	cases := map[string]struct {
+		start, piece string
+		stream       bool
+	}{
+		"no event stream on a streaming route": {start: head + "\r\n", piece: block, stream: true},
+		"no event stream, short lines":         {start: head + "\r\n", piece: strings.Repeat("x\n", 16<<10), stream: true},
+		"status line":                          {start: "", piece: block},
+		"header line":                          {start: head + "X: ", piece: block},
+		"header lines":                         {start: head, piece: strings.Repeat("X: y\r\n", 4<<10)},
+		"informational responses":              {start: "", piece: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<10)},
+		"chunk size":                           {start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: strings.Repeat("0", 32<<10)},
+		"trailer":                              {start: head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", piece: block},
+		"body of a refusal":                    {start: "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\n\r\n", piece: block},
+		"body for another":                     {start: "HTTP/1.1 200 OK\r\nId: other\r\nMark: 1\r\n\r\n", piece: block},
+		"event":                                {start: head + "Content-Type: text/event-stream\r\n\r\ndata: ", piece: block},
 	}
 
 	for name, c := range cases {
@@ -96,6 +101,7 @@
 					request := delivery("1")
 					request.Deadline = time.Now().Add(20 * time.Second)
 					request.ReadTimeout = 0
+					request.Stream = c.stream
 
 					_, _ = (&upstream.Client{Codec: codec{}}).Exchange(t.Context(), address, request, func(message.Event) error { return nil })
 
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -69,7 +69,7 @@
 		return x.failed(errReceiverGone, "client disconnected"), false
 	}
 
-	body := &framing.Body{Kind: x.info.Framing, EventStream: x.info.EventStream}
+	body := &framing.Body{Kind: x.info.Framing, EventStream: x.info.EventStream, EventsDue: x.delivery.Stream && x.info.OK()}
 
 	if err := x.forwardBody(response.Body, body); err != nil {
 		ended := isConnectionEnd(err)
