Remember the version of a server that went on with a stream of unknown begin

An entry that goes on with a stream because the service has one version kept its begin as unknown, so that the next attempt depended on there still being one version (LOST).

Result: TestServerThatGoesOnTellsTheVersion failed before and passes.

--- a/internal/forward/entry/origin.go
+++ b/internal/forward/entry/origin.go
@@ -64,9 +64,9 @@
 }
 
 // recordBegin binds a request to the process that has made the first event, which started at the given time, in Unix milliseconds; 0 if that
-// is not known.
+// is not known. A server that could go on with a stream of unknown begin has the version at which it began.
 func (e *Entry) recordBegin(j *job, server fleet.Server, startedAt int64) {
-	if !j.bound {
+	if !j.bound || !j.begin.Known {
 		j.bound = true
 		j.begin = origin.Of(server.ID, server.Version, server.StartedAt, startedAt)
 		j.begin.At = time.Now()
--- a/internal/forward/entry/origin_test.go
+++ b/internal/forward/entry/origin_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// Guards against a begin that stays unknown although a server has gone on with the stream.
+func TestServerThatGoesOnTellsTheVersion(t *testing.T) {
+	e := testEntry(nil)
+	j := testJob(catalog.Resumable)
+	j.bound = true
+
+	e.recordBegin(j, fleet.Server{ID: "a", Service: "s", Version: "v1", StartedAt: 5}, 5)
+
+	begin, ok := e.origins.Get(time.Now(), "r")
+	assert.Assert(t, ok)
+	assert.Assert(t, begin.Known)
+	assert.Equal(t, begin.Version, "v1")
+}
+
 // Guards against a begin that no other entry can find: that of a stream which this entry broke off, and that of a stream at a service without
 // agents.
 func TestBeginsAreSharedWhereAgentsDoNotKnowThem(t *testing.T) {
