--- a/internal/forward/upstream/client_test.go
+++ b/internal/forward/upstream/client_test.go
@@ -46,24 +46,11 @@
 func serve(t *testing.T, responses ...string) *scriptedServer {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	s := &scriptedServer{address: listener.Addr().String()}
-
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			s.connections.Add(1)
-
-			go s.respond(conn, responses)
-		}
-	}()
+	s := &scriptedServer{}
+	s.address = listen(t, func(conn *net.TCPConn) {
+		s.connections.Add(1)
+		s.respond(conn, responses)
+	})
 
 	return s
 }
--- a/internal/forward/upstream/copies_test.go
+++ b/internal/forward/upstream/copies_test.go
@@ -34,24 +34,10 @@
 func (c *copier) start(t *testing.T) string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			c.connections.Add(1)
-
-			go c.respond(conn)
-		}
-	}()
-
-	return listener.Addr().String()
+	return listen(t, func(conn *net.TCPConn) {
+		c.connections.Add(1)
+		c.respond(conn)
+	})
 }
 
 func (c *copier) respond(conn net.Conn) {
--- a/internal/forward/upstream/endless_test.go
+++ b/internal/forward/upstream/endless_test.go
@@ -23,22 +23,7 @@
 func serveEndless(t *testing.T, start, piece string, pause time.Duration) string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go writeEndless(conn, start, piece, pause)
-		}
-	}()
-
-	return listener.Addr().String()
+	return listen(t, func(conn *net.TCPConn) { writeEndless(conn, start, piece, pause) })
 }
 
 func writeEndless(conn net.Conn, start, piece string, pause time.Duration) {
