Count sound runs while the end of a server is not confirmed yet

Cause: a run to its end shows a request to be sound, but was recorded only once a crash was known. A broken connection to a plain server becomes a crash seconds later, when the list shows a later process; what ran meanwhile was not recorded, so that both ends counted.

Ruled out: a request that had not run in between; its row of the test is still held.

Change: runs count as soon as an end waits for its confirmation.

Result: TestRunBeforeAnEndIsConfirmedShowsARequestSound fails before in the case of a request that ran in between, and passes.

--- a/internal/forward/entry/ends.go
+++ b/internal/forward/entry/ends.go
@@ -36,6 +36,14 @@
 	p.ends = p.ends[max(len(p.ends)-maxPendingEnds, 0):]
 }
 
+// any reports whether an end waits for its confirmation.
+func (p *pendingEnds) any() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.ends) > 0
+}
+
 // confirm removes and returns the crashes of servers at whose addresses the list has a process that started later, and drops those that
 // have waited for too long.
 func (p *pendingEnds) confirm(now time.Time, listed func() []fleet.Server) []quarantine.Crash {
--- a/internal/forward/entry/ends_test.go
+++ b/internal/forward/entry/ends_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
 )
@@ -50,3 +52,38 @@
 
 	assert.Equal(t, len(pending.ends), maxPendingEnds)
 }
+
+// Guards against a sound request that is held: its responses were lost twice, the server was listed under another id some time later,
+// and the request ran to its end in between. Seed 122 of TestMachineSeeds found it.
+func TestRunBeforeAnEndIsConfirmedShowsARequestSound(t *testing.T) {
+	cases := map[string]bool{"ran in between": true, "never ran": false}
+
+	for name, ran := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := testEntry(nil)
+				e.Quarantine.Tracker.Random = func() float64 { return 0 }
+
+				suspects := func(request string) []quarantine.Suspect {
+					subject := quarantine.RequestSubject(testJob(catalog.Idempotent).digest())
+
+					return []quarantine.Suspect{{Request: request, SentAt: time.Now(), Subjects: []string{subject}}}
+				}
+
+				for _, id := range []string{"a", "b"} {
+					server := fleet.Server{ID: id, Address: "h:1", StartedAt: 5}
+					e.ends.add(pendingEnd{server: server, crash: quarantine.Crash{ID: id, Server: id, At: time.Now(), Suspects: suspects("lost by " + id)}})
+					time.Sleep(time.Second)
+
+					if ran {
+						e.Quarantine.recordRun(testJob(catalog.Idempotent), true, e.ends.any())
+					}
+				}
+
+				e.Fleet.Put(fleet.Server{ID: "c", Address: "h:1", StartedAt: 6})
+				e.confirmEnds()
+				assert.Equal(t, e.Quarantine.check(testJob(catalog.Idempotent)) == nil, ran)
+			})
+		})
+	}
+}
--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -126,13 +126,14 @@
 }
 
 // recordRun records that a server has run a request to its end. Its parts are sound if the response was a success with a body: a part may
-// end servers at any point of it.
-func (q *Quarantine) recordRun(j *job, success bool) {
+// end servers at any point of it. While ends of servers wait for their confirmation, it also counts for the request itself: the run may come
+// after an end that is known for sure only later.
+func (q *Quarantine) recordRun(j *job, success, endsPending bool) {
 	if success {
 		q.recordParts(j.request.ID, j.sharedParts)
 	}
 
-	if q.hasEvidence() {
+	if endsPending || q.hasEvidence() {
 		q.recordSound(j.request.ID, j.ownSubjects())
 	}
 }
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -203,7 +203,7 @@
 
 	if _, ended := last.(message.Completed); ended {
 		e.health.recordSuccess(server.ID)
-		e.Quarantine.recordRun(j, response.begun)
+		e.Quarantine.recordRun(j, response.begun, e.ends.any())
 	}
 
 	return response.outcome(last)
