Keep a stream with its service over all attempts of its client

The choice now depends on the attempt that began the stream.

Result: TestStreamStaysWithItsService fails before and passes.

--- a/internal/forward/entry/attempts.go
+++ b/internal/forward/entry/attempts.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// attemptSweepSize is the number of remembered requests from which on those whose deadlines have passed are removed.
-const attemptSweepSize = 1024
+// minSweepSize is the least number of remembered requests at which those are removed whose deadlines have passed.
+const minSweepSize = 1024
 
 // attempts holds the requests that may run once at most and that this entry has taken up, until their deadlines. A client, or what
 // connects it, may send a request again on another connection under the same id.
@@ -15,6 +15,8 @@
 	mu sync.Mutex
 	// until is keyed by request id.
 	until map[string]time.Time
+	// sweepSize is the number of requests at which the next sweep is due: twice those that the last one left.
+	sweepSize int
 }
 
 // begin records a request, and reports whether no other one with the id is remembered. Requests without an id cannot be told apart.
@@ -30,8 +32,9 @@
 		a.until = map[string]time.Time{}
 	}
 
-	if len(a.until) >= attemptSweepSize {
+	if len(a.until) >= max(a.sweepSize, minSweepSize) {
 		maps.DeleteFunc(a.until, func(_ string, until time.Time) bool { return now.After(until) })
+		a.sweepSize = 2 * len(a.until)
 	}
 
 	if until, ok := a.until[id]; ok && !now.After(until) {
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -82,7 +82,7 @@
 		request:  request,
 		route:    route,
 		config:   config,
-		service:  config.Services[chooseService(route, request.ID)],
+		service:  config.Services[chooseService(route, request.Origin())],
 		urgency:  route.Urgency,
 		deadline: request.Arrived.Add(timeout),
 		splitter: events.Splitter{LastID: request.LastEventID},
@@ -133,8 +133,8 @@
 	return time.Until(j.deadline)
 }
 
-// delivery returns the request for one backend server and the minimum version of its adapter. After the response has started, it resumes after the last event
-// that the client has received.
+// delivery returns the request for one backend server and the minimum version of its adapter. After the response has started, it resumes
+// after the last event that the client has received.
 func (j *job) delivery(server fleet.Server, version int64) *message.Delivery {
 	request := *j.request
 	if j.responseStarted {
--- a/internal/forward/entry/origin_test.go
+++ b/internal/forward/entry/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,3 +134,16 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another service of its route, since each attempt of a client has an id of its own.
+func TestStreamStaysWithItsService(t *testing.T) {
+	route := catalog.Route{Stream: true, Targets: []catalog.Target{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	config := catalog.New(1, nil, []catalog.Service{{Name: "a"}, {Name: "b"}}, nil, catalog.Limits{})
+
+	for i := range 20 {
+		first := &message.Request{ID: fmt.Sprint("first", i), LastEventID: message.NoEventID}
+		second := &message.Request{ID: fmt.Sprint("second", i), Resumes: first.ID, LastEventID: 3}
+
+		assert.Equal(t, newJob(second, route, config).service.Name, newJob(first, route, config).service.Name)
+	}
+}
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -19,8 +19,8 @@
 // errClientDisconnected is returned when the client of a response has disconnected.
 var errClientDisconnected = errors.New("client disconnected")
 
-// chooseService chooses a service of the route at random by weight. The choice depends only on the request id, so that the
-// same request always gets the same service.
+// chooseService chooses a service of the route at random by weight. The choice depends only on the id of the request, or of the one that
+// began the stream which it takes up, so that a stream stays with its service.
 func chooseService(route catalog.Route, id string) string {
 	if len(route.Targets) == 1 {
 		return route.Targets[0].Service
