Bound the bodies of all requests at an agent

Each entry bounds the bodies that it holds, but many entries send to one agent.

Cause: no common bound at the agent.

Ruled out: a bound by the number of requests, which are mostly small.

Change: bodies beyond an eighth of the memory of an agent are refused at once; the request goes elsewhere, or its client is told when to come back.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -62,6 +62,8 @@
 	Listener net.Listener
 	Log      logrus.FieldLogger
 	Metrics  metrics.Registry
+	// BodyMemory bounds the bytes of the bodies of all requests that wait or run; those beyond it are refused. 0 is no bound.
+	BodyMemory int64
 	// DrainTimeout is how long running requests may take to finish during shutdown.
 	DrainTimeout time.Duration
 
@@ -86,6 +88,8 @@
 	history origin.History
 	// ended is true from the end of the model server until it is recorded which responses it has broken off.
 	ended bool
+	// bodyBytes is the size of the bodies of the requests that wait or run.
+	bodyBytes int64
 	// watchers holds the entries that watch the state.
 	watchers map[*watcher]bool
 	// notified is the state at the last urgent notification of the watchers.
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -71,6 +71,13 @@
 
 	go sender.sendHeartbeats(ctx, cancel)
 
+	if refused := a.takeBody(len(delivery.Body)); refused != nil {
+		a.reportExchange(delivery, exchangeReport{last: *refused})
+		return sender.emit(*refused)
+	}
+
+	defer a.releaseBody(len(delivery.Body))
+
 	scheduled := scheduledRequest(delivery, arrived)
 	defer a.finish(scheduled)
 
--- a/internal/program/hosted/agent.go
+++ b/internal/program/hosted/agent.go
@@ -45,6 +45,7 @@
 		Log:          p.log,
 		Metrics:      p.metrics,
 		DrainTimeout: p.settings.Bounds.GracePeriod - graceMargin,
+		BodyMemory:   p.settings.MemoryLimit / bodyMemoryShare,
 	}
 
 	server.RegisterGauges()
