Go by an old list of servers for no stream that names its first attempt

What callers would see: an entry that is cut off from the list takes the version in it for the only one and goes on with streams that began at servers of a newer version, which other entries know (ORDER binds machines out of touch as well). Found by reading.

Cause: the only version was taken from the list whatever its age.

Ruled out: entries in touch; their list is confirmed within its highest age.

Change: beyond that age and a second, agents are asked. A client that names no first attempt gives nothing else to go by.

Result: TestSoleVersionOfAnOldList fails before in two of four cases and passes.

--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -84,6 +84,10 @@
 	Changed chan struct{}
 	// Origins finds where streams began at other entries.
 	Origins Origins
+	// ListAge returns how long ago the list of servers was confirmed; false if it never was.
+	ListAge func() (time.Duration, bool)
+	// MaxListAge is the age of the list above which servers of another version may serve that it lacks.
+	MaxListAge time.Duration
 	// Entries returns the number of entries that share the common budgets, or a larger one; 0 if it is not known.
 	Entries func() int
 	// StartedAt is when the process started.
--- a/internal/forward/entry/origin.go
+++ b/internal/forward/entry/origin.go
@@ -52,7 +52,7 @@
 		return begin, sourceEntry
 	}
 
-	if version, ok := e.Fleet.SoleVersion(now, j.service.Name); ok {
+	if version, ok := e.soleVersion(j); ok {
 		return origin.Begin{Version: version, Known: true, At: now}, sourceVersions
 	}
 
@@ -63,6 +63,17 @@
 	return origin.Begin{}, sourceNone
 }
 
+// soleVersion returns the software version of all servers that may have begun the stream of a request; false if there may be several. Other
+// entries may know servers that an old list lacks. A client that does not name the attempt that began its stream gives nothing else to go by.
+func (e *Entry) soleVersion(j *job) (string, bool) {
+	named := j.request.Resumes != "" || j.responseStarted
+	if age, known := e.ListAge(); named && (!known || age > e.MaxListAge) {
+		return "", false
+	}
+
+	return e.Fleet.SoleVersion(time.Now(), j.service.Name)
+}
+
 // recordBegin binds a request to the process that has made the first event, which started at the given time, in Unix milliseconds; 0 if that
 // is not known. A server that could go on with a stream of unknown begin has the version at which it began.
 func (e *Entry) recordBegin(j *job, server fleet.Server, startedAt int64) {
@@ -82,7 +93,7 @@
 
 // shareBegin has the begin of the stream remembered by agents while the service has servers of several versions.
 func (e *Entry) shareBegin(j *job) {
-	if _, sole := e.Fleet.SoleVersion(time.Now(), j.service.Name); sole {
+	if _, sole := e.soleVersion(j); sole {
 		return
 	}
 
@@ -105,7 +116,7 @@
 		return server.Version, true, nil
 	}
 
-	if version, ok := e.Fleet.SoleVersion(time.Now(), j.service.Name); ok {
+	if version, ok := e.soleVersion(j); ok {
 		return version, true, nil
 	}
 
--- a/internal/forward/entry/origin_test.go
+++ b/internal/forward/entry/origin_test.go
@@ -147,3 +147,34 @@
 		assert.Equal(t, newJob(second, route, config).service.Name, newJob(first, route, config).service.Name)
 	}
 }
+
+// Guards against a version that an entry which is cut off from the list takes for the only one, while others know servers of another version
+// (ORDER).
+func TestSoleVersionOfAnOldList(t *testing.T) {
+	cases := map[string]struct {
+		age     time.Duration
+		known   bool
+		resumes string
+		sole    bool
+	}{
+		"fresh":           {age: time.Second, known: true, resumes: "first", sole: true},
+		"old":             {age: 3 * time.Second, known: true, resumes: "first"},
+		"never confirmed": {resumes: "first"},
+		"old, and the client names no first attempt": {age: 3 * time.Second, known: true, sole: true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := testEntry(nil)
+			e.Fleet.FromStart = true
+			e.Fleet.Put(fleet.Server{ID: "a", Service: "s", Version: "v1"})
+			e.ListAge = func() (time.Duration, bool) { return c.age, c.known }
+
+			j := testJob(catalog.Resumable)
+			j.request.Resumes, j.request.LastEventID = c.resumes, 3
+
+			_, sole := e.soleVersion(j)
+			assert.Equal(t, sole, c.sole)
+		})
+	}
+}
--- a/internal/forward/entry/relay_test.go
+++ b/internal/forward/entry/relay_test.go
@@ -33,6 +33,8 @@
 		Entries:    func() int { return 1 },
 		Fleet:      &fleet.Fleet{},
 		Origins:    noOrigins{},
+		ListAge:    func() (time.Duration, bool) { return 0, true },
+		MaxListAge: 2 * time.Second,
 	}
 }
 
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -38,6 +38,8 @@
 	bodyMemoryShare = 8
 	// graceMargin is the part of the grace period that is reserved for the exit of the process.
 	graceMargin = 500 * time.Millisecond
+	// listMargin is added to the age at which the list of servers is read again: a read takes a while.
+	listMargin = time.Second
 	// closeTimeout limits the close of the connections that are left at the end.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -112,6 +114,7 @@
 	server.Quarantine.OnCrash = func(crash quarantine.Crash) { go server.Links.ReportCrash(settings.VM, crash) }
 	server.Links.OnLimits = server.AdoptLimits
 	server.Entries = server.Links.KnownEntries
+	server.ListAge, server.MaxListAge = listing.Freshness.SharedAge, listing.MaxAge+listMargin
 	server.Links.OnSoleVersion = server.ObserveSoleVersion
 	server.Links.Versions = func(service string) ([]string, bool) { return servers.Versions(time.Now(), service) }
 	server.Origins = &link.OriginClient{Links: server.Links, Entry: settings.VM}
