--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 TIME ?= 20s
 
-.PHONY: build test lint format generate demo soak soak-hosted soak-restore measure measure-own slopes bench fuzz
+.PHONY: build test lint format generate demo soak soak-hosted soak-restore soak-machine measure measure-own slopes bench fuzz
 
 build:
 	go build -o bin/chestnutbeam ./cmd/chestnutbeam
@@ -41,6 +41,10 @@
 soak-restore:
 	go test -count=1 -timeout 0 -run '^TestRestoreSeeds$$' ./platform/soak -soak.restore.first $(SEED) -soak.restore.seeds $(SEEDS) -soak.length $(LENGTH)
 
+# The same with faults of real machines, upgrades of servers and clients that come back; every second seed plays entries without agents.
+soak-machine:
+	go test -count=1 -timeout 0 -run '^TestMachineSeeds$$' ./platform/soak -soak.machine.first $(SEED) -soak.machine.seeds $(SEEDS) -soak.length $(LENGTH)
+
 # Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
 slopes:
 	go run ./cmd/slopes
