Take a response with an invalid status for no response

What callers saw: a response with status 600 or 999 reached the client of a non-idempotent route with the seal of the server; with Not-Executed it became a refusal with 503, a promise that the request has not run. A response with status 000 or 099 whose body held a whole response ("HTTP/1.1 200 OK", the id, the seal) brought the client that body as the answer (MIXED, REFUSED).

Cause: net/http reads any three characters that are a number as a status. Those below 200 all counted as interim responses, so that the bytes after their heads were read as the next response; those above 599 counted as final ones. So did other versions, as HTTP/2.0.

Evidence, on the code before: TestInvalidStatusLineIsNoResponse failed for 000, 099 and +20 with a hidden response ("a response began"), 101, 600, 999 and HTTP/2.0. TestInvalidStatusIsNoAnswer failed for 600 and 999 on the non-idempotent route ("600 != 502") and, with 504 after 4 s instead of 502, on streaming routes that are not resumable.

Ruled out: lines that are no status line, and plain answers with 000 or 099 without a response in the body. They gave a 502 before, too, on all six routes, and are in the test so that they stay so.

Change: the status of a final response is 200 to 599 in HTTP/1, and that of an interim one 100 to 199 without 101, since no request asks for another protocol. Anything else is no response: the outcome of the request is not known, and the connection is closed.

Result: both tests pass.

--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -252,7 +252,7 @@
 	}
 }
 
-// readResponse reads a response head and skips informational (1xx) responses.
+// readResponse reads the head of a final response and skips informational (1xx) responses.
 func readResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, request)
@@ -260,8 +260,8 @@
 			return nil, errors.Wrap(err, "read response")
 		}
 
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if !framing.IsInterim(response) {
+			return response, errors.Wrap(framing.CheckFinal(response), "read response")
 		}
 	}
 }
