Believe no report, order or call whose response has an invalid status

What callers saw: a report with status 600 made its model server count as leaving; an order that was answered with 000, 101 or 600 counted as rejected, which promises that the server does not carry it out. A response of a plain service with status 000 ended the handler of its request with a panic, and 600 reached the caller. The error kind in a response with status 600 counted as the statement of a model server or the table service.

Ruled out: calls of the store take 200 and 410 alone; only a 200 of another version of the protocol passed.

Change: the clients of the store, of model servers and of plain services check the status line as the request path does.

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -72,6 +72,10 @@
 
 	defer func() { _ = response.Body.Close() }()
 
+	if err := framing.CheckFinal(response); err != nil {
+		return Response{}, fault.Wrap(err, fault.OutcomeUnknown, "no response to the call")
+	}
+
 	body, err := c.readBody(response)
 	if err != nil {
 		return Response{}, fault.Wrap(err, fault.OutcomeUnknown, "incomplete response to the call")
--- a/internal/backend/service/unframed_test.go
+++ b/internal/backend/service/unframed_test.go
@@ -16,6 +16,13 @@
 func serveUnframed(t *testing.T, body string) string {
 	t.Helper()
 
+	return serveRaw(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+body)
+}
+
+// serveRaw responds to each call with the given bytes and closes the connection.
+func serveRaw(t *testing.T, response string) string {
+	t.Helper()
+
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 
@@ -24,7 +31,7 @@
 			return
 		}
 
-		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+body)
+		_, err = io.WriteString(conn, response)
 		assert.Check(t, err)
 		assert.Check(t, conn.Close())
 	}))
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 )
 
 // BodyLimit is the largest response body that is read, in bytes. The largest legitimate one is a snapshot of a fleet
@@ -113,8 +114,17 @@
 	}
 
 	response, err := WithoutRedirects(call.HTTP).Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "send request")
+	}
+
+	if err := framing.CheckFinal(response); err != nil {
+		_ = response.Body.Close()
+
+		return nil, errors.Wrap(err, "read response")
+	}
 
-	return response, errors.Wrap(err, "send request")
+	return response, nil
 }
 
 // Bytes sends the call and returns the response body, which may have at most BodyLimit bytes.
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -1,6 +1,7 @@
 package rest_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -42,3 +43,28 @@
 	assert.Equal(t, statusErr.Code, http.StatusTemporaryRedirect)
 	assert.Equal(t, calls.Load(), int64(1))
 }
+
+// Guards against an invalid status that counts as the statement of a server that it has not done what a call asks for.
+func TestInvalidStatusStatesNothing(t *testing.T) {
+	for name, line := range map[string]string{"000": "HTTP/1.1 000 None", "600": "HTTP/1.1 600 None", "999": "HTTP/1.1 999 None", "protocol": "HTTP/1.1 101 Other"} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if !assert.Check(t, err) {
+					return
+				}
+
+				_, err = io.WriteString(conn, line+"\r\nContent-Length: 31\r\n\r\n{\"error\":{\"kind\":\"overloaded\"}}")
+				assert.Check(t, err)
+				assert.Check(t, conn.Close())
+			}))
+			t.Cleanup(server.Close)
+
+			err := rest.JSON(t.Context(), rest.Call{Method: http.MethodPost, URL: server.URL}, nil, nil)
+
+			var statusErr *rest.StatusError
+
+			assert.Assert(t, err != nil && !errors.As(err, &statusErr), "%v", err)
+		})
+	}
+}
