Keep no more than one event of a stream at an entry

What callers saw: nothing yet. A server that sends lines which end in two or more carriage returns ("\r\r\n"), without end, makes an entry keep all of them until the request's deadline, or until the entry is out of memory and the requests of all its clients end (LOST).

Cause: the reader of a response and the splitter of events, at the entry, had different blank lines. For events.Progress any number of carriage returns before the line feed made one, so that such bytes counted as whole events and extended the read timeout; for events.Splitter one at most, so that it found no end. The splitter had no bound of its own.

Evidence, on the code before: TestSplitterKeepsNoMoreThanOneEvent failed for "\r\r\n" ("1081344 bytes are kept after 1081344", and so on without bound) and for a line of 100 returns.

Ruled out: lines that end in CR or LF alone, lines without a blank one, and events without a line end are bounded by events.Progress at 1 MB; they are in the test.

Change: both have the same blank line, and the splitter ends a stream with an event above 1 MB itself, whoever read it. It goes on from the last line instead of searching the whole event at each piece.

--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 )
@@ -244,7 +245,7 @@
 
 		return r.handleHead(e.Head)
 	case message.Data:
-		return r.handleData(e.Bytes)
+		return r.handleBytes(e.Bytes)
 	default:
 		return nil
 	}
@@ -287,6 +288,20 @@
 	return reason
 }
 
+// handleBytes handles a piece of the body. The events that it completes are forwarded before one after them that is too long ends the
+// response, since the splitter counts them as forwarded.
+func (r *response) handleBytes(data []byte) error {
+	if err := r.handleData(data); err != nil {
+		return err
+	}
+
+	if r.job.splitter.TooLong() {
+		return r.reject(events.ErrTooLong)
+	}
+
+	return nil
+}
+
 func (r *response) handleData(data []byte) error {
 	if r.withheld {
 		r.withheldBytes += len(data)
--- a/internal/forward/events/splitter.go
+++ b/internal/forward/events/splitter.go
@@ -14,7 +14,12 @@
 	LastID int64
 	// Consecutive is true while each event returned had an id, each one above the one before.
 	Consecutive bool
-	pending     []byte
+	// pending holds the bytes after the last complete event, at most maxEventBytes between two calls of Push. line is where the first line
+	// in it starts that has no end yet.
+	pending []byte
+	line    int
+	// tooLong is true if an event had more than maxEventBytes.
+	tooLong bool
 	// resumed is true from Resume to the first event that goes on from LastID, and misplaced from one that does not.
 	resumed, misplaced bool
 }
@@ -22,8 +27,8 @@
 // Resume discards the bytes of an incomplete event. What is pushed from now on is the stream of another server, which goes on after
 // LastID.
 func (s *Splitter) Resume() {
-	s.pending = nil
-	s.resumed, s.misplaced = s.LastID >= 0, false
+	s.pending, s.line = nil, 0
+	s.resumed, s.misplaced, s.tooLong = s.LastID >= 0, false, false
 }
 
 // Misplaced reports whether the stream of another server does not go on after LastID: its first new event has no id, or a later one than
@@ -32,6 +37,11 @@
 	return s.misplaced
 }
 
+// TooLong reports whether an event had more than maxEventBytes. It is dropped, so that what follows belongs to no event.
+func (s *Splitter) TooLong() bool {
+	return s.tooLong
+}
+
 // Push adds bytes of the stream and returns the events that they complete. The result is valid until the next call.
 func (s *Splitter) Push(data []byte) []byte {
 	s.pending = append(s.pending, data...)
@@ -39,13 +49,15 @@
 	var complete []byte
 
 	for {
-		end := eventEnd(s.pending)
+		end := s.eventEnd()
 		if end < 0 {
+			s.boundPending()
+
 			return complete
 		}
 
 		event := s.pending[:end]
-		s.pending = s.pending[end:]
+		s.pending, s.line = s.pending[end:], 0
 
 		if s.isNew(event) && !s.misplaced {
 			complete = append(complete, event...)
@@ -53,6 +65,13 @@
 	}
 }
 
+// boundPending drops an incomplete event that is too long.
+func (s *Splitter) boundPending() {
+	if len(s.pending) > maxEventBytes {
+		s.pending, s.line, s.tooLong = nil, 0, true
+	}
+}
+
 // Remainder returns the bytes after the last complete event.
 func (s *Splitter) Remainder() []byte {
 	return s.pending
@@ -85,20 +104,22 @@
 	return true
 }
 
-// eventEnd returns the length of the first event with its blank line; -1 if it is incomplete. Lines end in LF or CR LF, also in turn, as for
-// Progress, so that the bytes of one event are bounded for both.
-func eventEnd(data []byte) int {
-	for start := 0; ; {
-		index := bytes.IndexByte(data[start:], '\n')
+// eventEnd returns the length of the first event with its blank line; -1 if it is incomplete. As for Progress, a line is blank if it holds
+// nothing but carriage returns, so that the bytes of one event are bounded for both.
+func (s *Splitter) eventEnd() int {
+	for {
+		rest := s.pending[s.line:]
+
+		index := bytes.IndexByte(rest, '\n')
 		if index < 0 {
 			return -1
 		}
 
-		start += index + 1
-		rest := bytes.TrimPrefix(data[start:], []byte("\r"))
+		blank := s.line > 0 && len(bytes.TrimLeft(rest[:index], "\r")) == 0
+		s.line += index + 1
 
-		if bytes.HasPrefix(rest, []byte("\n")) {
-			return len(data) - len(rest) + 1
+		if blank {
+			return s.line
 		}
 	}
 }
--- a/internal/forward/events/splitter_test.go
+++ b/internal/forward/events/splitter_test.go
@@ -1,6 +1,7 @@
 package events_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -53,9 +54,62 @@
 	assert.Equal(t, got, "id: 1\ndata: b\n\n")
 }
 
+// Guards against bytes that count as whole events where a server is read and complete none here, so that they are kept without end.
+func TestSplitterKeepsNoMoreThanOneEvent(t *testing.T) {
+	const total = 8 << 20
+
+	cases := map[string]string{
+		"two returns in a line end": "\r\r\n",
+		"many returns":              "data: a\r\n" + strings.Repeat("\r", 100) + "\n",
+		"returns between lines":     "\r\n\r\r\n",
+		"line ends":                 "\n",
+		"carriage returns":          "\r",
+		"no line end":               "x",
+		"lines":                     "data: a\n",
+		"whole events":              "data: a\n\n",
+	}
+
+	for name, piece := range cases {
+		t.Run(name, func(t *testing.T) {
+			var (
+				splitter events.Splitter
+				progress events.Progress
+			)
+
+			block := []byte(strings.Repeat(piece, 16<<10))
+
+			for read := 0; read < total; read += len(block) {
+				if _, err := progress.Scan(block); err != nil {
+					return
+				}
+
+				splitter.Push(block)
+				assert.Assert(t, len(splitter.Remainder()) <= 1<<20, "%d bytes are kept after %d", len(splitter.Remainder()), read+len(block))
+			}
+		})
+	}
+}
+
+// Guards against an event that is kept without end because nothing has bounded it before.
+func TestSplitterRejectsAnEventThatIsTooLong(t *testing.T) {
+	var splitter events.Splitter
+
+	block := make([]byte, 64<<10)
+
+	for range 16 {
+		splitter.Push(block)
+		assert.Assert(t, !splitter.TooLong())
+	}
+
+	splitter.Push(block)
+	assert.Assert(t, splitter.TooLong())
+	assert.Equal(t, len(splitter.Remainder()), 0)
+}
+
 func FuzzPush(f *testing.F) {
 	f.Add([]byte("id: 0\ndata: a\n\nid: 1\ndata: b\n\n"), 7)
 	f.Add([]byte("id: 0\r\n\r\n\n\n"), 1)
+	f.Add([]byte("\r\r\nid: 0\n\r\r\n"), 9)
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
 		single := events.Splitter{LastID: -1}
 		once := string(single.Push(data))
