Log the requests that the end of a process cuts off

An entry now logs one line for each request that it cuts off, with its route, server, age, its arrival against SIGTERM, whether its response has begun, and the ground on which it was taken: before SIGTERM, by its deadline, or by the longest response of late. It logs once each request that it takes after SIGTERM, with the time that is left and needed. Agents log what they cut off, and whether it was sent. The lines are limited to 50 and the rest is counted, as all are in request.cut and request.draining. "process is stopping" says how long is left and how much is under way. The log is flushed before the process ends; its last lines could be lost.

No decision changes.

--- a/internal/core/logs/logs_test.go
+++ b/internal/core/logs/logs_test.go
@@ -80,3 +80,21 @@
 		return poll.Continue("lines are missing")
 	})
 }
+
+// Guards against the last lines of a process that are lost because it ends before they are written.
+func TestFlushWritesBufferedLines(t *testing.T) {
+	out := &blockingWriter{}
+	writer := logs.New(out)
+
+	for range 100 {
+		_, err := io.WriteString(writer, "line\n")
+		assert.NilError(t, err)
+	}
+
+	writer.Flush(time.Minute)
+
+	out.mu.Lock()
+	defer out.mu.Unlock()
+
+	assert.Equal(t, strings.Count(out.written.String(), "line\n"), 100)
+}
--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -88,6 +88,8 @@
 	history origin.History
 	// ended is true from the end of the model server until it is recorded which responses it has broken off.
 	ended bool
+	// exchanges holds the requests whose outcome has not been sent yet.
+	exchanges map[*activeExchange]bool
 	// bodyBytes is the size of the bodies of the requests that wait or run.
 	bodyBytes int64
 	// watchers holds the entries that watch the state.
@@ -127,22 +129,25 @@
 func (a *Agent) drain(ctx context.Context, stop context.CancelFunc) {
 	<-ctx.Done()
 
+	signal := time.Now()
+
 	a.mu.Lock()
 	a.scheduler.Close()
 	a.dispatch()
 	a.notifyWatchers()
+	active := len(a.exchanges)
 	a.mu.Unlock()
-	a.Log.Info("process is stopping")
+	a.Log.WithField("left", a.DrainTimeout.Milliseconds()).WithField("active", active).Info("process is stopping")
 
 	// The state tells entries to send no more requests.
-	drainDeadline := time.Now().Add(a.DrainTimeout)
+	drainDeadline := signal.Add(a.DrainTimeout)
 	time.Sleep(drainDelay)
 
 	for time.Now().Before(drainDeadline) && a.running() > 0 {
 		time.Sleep(drainPollPeriod)
 	}
 
-	a.Log.WithField("running", a.running()).Info("process stopped")
+	a.Log.WithField("cut", a.reportCutOff(signal)).WithField("running", a.running()).Info("process stopped")
 	stop()
 }
 
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -69,6 +69,9 @@
 	delivery := convert.DeliveryFromWire(arrived, request)
 	sender := &eventSender{stream: stream, lastSent: arrived}
 
+	exchange := a.beginExchange(delivery, arrived)
+	defer a.endExchange(exchange)
+
 	go sender.sendHeartbeats(ctx, cancel)
 
 	if refused := a.takeBody(len(delivery.Body)); refused != nil {
@@ -93,12 +96,15 @@
 		return sender.emit(*refused)
 	}
 
+	a.setProgress(exchange, false)
+
 	recorder := &beginRecorder{agent: a, delivery: delivery}
 	timeToFirst := time.Duration(0)
 	last, info := a.Upstream.Exchange(ctx, a.Address, delivery, func(event message.Event) error {
 		if _, isData := event.(message.Data); isData && timeToFirst == 0 {
 			timeToFirst = time.Since(started)
 			a.outputStarted(scheduled)
+			a.setProgress(exchange, true)
 		}
 
 		return sender.emit(recorder.observe(event))
--- a/internal/forward/entry/drain.go
+++ b/internal/forward/entry/drain.go
@@ -18,16 +18,24 @@
 // drain is the end of the process, once it has been announced.
 type drain struct {
 	mu sync.Mutex
-	// end is when requests under way are cut off; zero while the process is not draining.
-	end time.Time
+	// signal is when the end was announced, and end is when requests under way are cut off; zero while the process is not draining.
+	signal, end time.Time
 }
 
 // begin announces the end.
-func (d *drain) begin(end time.Time) {
+func (d *drain) begin(signal, end time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.end = end
+	d.signal, d.end = signal, end
+}
+
+// signaledAt returns when the end was announced; zero while the process is not draining.
+func (d *drain) signaledAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.signal
 }
 
 // left returns the time until requests under way are cut off; false while the process is not draining.
@@ -76,23 +84,30 @@
 	return time.Duration(longest) * time.Millisecond, longest > 0
 }
 
+// drainDecision is why a request is taken or refused while the process is draining.
+type drainDecision struct {
+	// left is the time until the process ends, and needed the time that the response may take on the ground.
+	left, needed time.Duration
+	ground       drainGround
+}
+
 // checkDrain refuses a request that may still be under way when this process ends. By its deadline it has an answer in any case.
-func (e *Entry) checkDrain(j *job) *fault.Error {
+func (e *Entry) checkDrain(j *job) (drainDecision, *fault.Error) {
 	now := time.Now()
 
 	left, draining := e.drain.left(now)
 	if !draining {
-		return nil
+		return drainDecision{ground: groundNone}, nil
 	}
 
-	needed := j.remaining()
-	if expected, ok := e.durations.expected(now, j.route.Name); ok {
-		needed = min(needed, expected)
+	decision := drainDecision{left: left, needed: j.remaining(), ground: groundDeadline}
+	if expected, ok := e.durations.expected(now, j.route.Name); ok && expected < decision.needed {
+		decision.needed, decision.ground = expected, groundForecast
 	}
 
-	if needed <= left {
-		return nil
+	if decision.needed <= left {
+		return decision, nil
 	}
 
-	return fault.New(fault.Draining, "the entry stops in %d ms, and the response may take %d ms", left.Milliseconds(), needed.Milliseconds()).WithRetryAfter(drainRetry)
+	return decision, fault.New(fault.Draining, "the entry stops in %d ms, and the response may take %d ms", left.Milliseconds(), decision.needed.Milliseconds()).WithRetryAfter(drainRetry)
 }
--- a/internal/forward/entry/drain_test.go
+++ b/internal/forward/entry/drain_test.go
@@ -42,7 +42,7 @@
 				e.Drain(time.Now().Add(c.left))
 			}
 
-			err := e.checkDrain(j)
+			_, err := e.checkDrain(j)
 			assert.Equal(t, err != nil, c.refused)
 
 			if err != nil {
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -95,6 +95,7 @@
 
 	config      atomic.Pointer[catalog.Config]
 	drain       drain
+	active      activeRequests
 	durations   durations
 	minVersions minVersions
 	retryBudget retryBudget
@@ -150,7 +151,7 @@
 // Drain makes Ready report false for the rest of the process, which cuts off at the given time what is under way. Requests that may
 // end before are still served, while all those at an entry of internal/entry are refused once it is draining.
 func (e *Entry) Drain(end time.Time) {
-	e.drain.begin(end)
+	e.drain.begin(time.Now(), end)
 }
 
 // Draining reports whether Drain was called.
@@ -209,6 +210,12 @@
 		return
 	}
 
+	e.reportTaken(j)
+	j.active.ground = j.drain.ground
+	e.active.add(j.active)
+
+	defer e.active.remove(j.active)
+
 	bounded, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 
@@ -240,10 +247,13 @@
 	}
 
 	// A request that is refused here costs its account nothing.
-	if err := e.checkDrain(j); err != nil {
+	decision, err := e.checkDrain(j)
+	if err != nil {
 		return nil, err
 	}
 
+	j.drain = decision
+
 	if err := e.Quarantine.check(j); err != nil {
 		return nil, err
 	}
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -63,6 +63,10 @@
 	// the request to the first piece of the response body; 0 before it.
 	expectedWait time.Duration
 	timeToFirst  time.Duration
+	// drain is why the request was taken although the process was draining.
+	drain drainDecision
+	// active is the request as the log shows it if the end of the process cuts it off.
+	active *activeRequest
 	// servers lists the ids of the chosen servers in order, for the log.
 	servers []string
 }
@@ -88,6 +92,7 @@
 		splitter: events.Splitter{LastID: request.LastEventID},
 		excluded: map[string]bool{},
 
+		active:      &activeRequest{request: request, route: route.Name, ground: groundNone},
 		sharedParts: quarantine.SharedParts(request.PromptParts),
 	}
 }
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -61,7 +61,7 @@
 }
 
 // RegisterGauges registers the gauges of the entry: the configuration version and age, the age of the latest confirmation
-// by the store, and the numbers of listed servers, connected agents and known entries.
+// by the store, and the numbers of requests under way, listed servers, connected agents and known entries.
 func (e *Entry) RegisterGauges() {
 	gauge := func(name string, value func() int64) { metric.Gauge(e.Metrics, name, value) }
 
@@ -81,6 +81,7 @@
 
 		return 0
 	})
+	gauge("requests.active", e.active.count)
 	gauge("quarantine.held", e.Quarantine.held)
 	gauge("servers.listed", func() int64 { return int64(len(e.Fleet.All())) })
 	gauge("agents.linked", func() int64 { return int64(e.Links.ConnectedCount()) })
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -64,6 +64,7 @@
 		}
 
 		j.servers = append(j.servers, server.ID)
+		j.active.sentTo(server.ID)
 
 		switch outcome := e.send(ctx, j, server).(type) {
 		case message.Completed:
@@ -275,6 +276,7 @@
 	}
 
 	j.responseStarted = true
+	j.active.begin()
 	j.status = head.Status
 	j.eventStream = head.IsEventStream()
 
--- a/internal/program/hosted/agent.go
+++ b/internal/program/hosted/agent.go
@@ -50,5 +50,7 @@
 
 	server.RegisterGauges()
 
+	defer p.flushLog()
+
 	return server.Run(ctx)
 }
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -218,7 +218,7 @@
 func (p *process) drainClients(ctx context.Context, server *entry.Entry, clients *http.Server, connections *graceful.Listener) {
 	end := time.Now().Add(p.settings.Bounds.GracePeriod - graceMargin)
 
-	p.log.Info("process is stopping")
+	p.log.WithField("left", time.Until(end).Milliseconds()).WithField("active", server.ActiveCount()).Info("process is stopping")
 	server.Drain(end)
 	clients.SetKeepAlivesEnabled(false)
 	time.Sleep(min(drainDelay, time.Until(end)))
@@ -234,5 +234,6 @@
 
 	err := clients.Shutdown(closing)
 	connections.Wait(closing)
-	p.log.WithError(err).Info("process stopped")
+	p.log.WithField("cut", server.ReportCutOff()).WithError(err).Info("process stopped")
+	p.flushLog()
 }
--- a/internal/program/hosted/process.go
+++ b/internal/program/hosted/process.go
@@ -36,6 +36,8 @@
 	MetricsPort = "7614"
 	// headerTimeout limits the time to read a request header if there is no configuration yet, and of probes and metrics.
 	headerTimeout = 5 * time.Second
+	// flushTimeout limits the wait for the last lines of the log.
+	flushTimeout = 100 * time.Millisecond
 )
 
 // process holds what entries and agents have in common.
@@ -47,6 +49,8 @@
 	hangups chan os.Signal
 	log     logrus.FieldLogger
 	metrics metrics.Registry
+	// writer is where the log goes.
+	writer *logs.Writer
 }
 
 // start creates the process and its log. It loads the settings unless they are given.
@@ -79,6 +83,7 @@
 		logrus.SetOutput(writer)
 	}
 
+	p.writer = writer
 	p.log = log.WithField("vm", settings.VM)
 	metric.Gauge(p.metrics, "log.dropped", writer.Dropped)
 	metric.Gauge(p.metrics, "invariant.violation", invariant.Violations.Count)
@@ -175,6 +180,11 @@
 	}
 }
 
+// flushLog waits for the last lines of the log.
+func (p *process) flushLog() {
+	p.writer.Flush(flushTimeout)
+}
+
 // counter returns a function that adds one to a counter.
 func (p *process) counter(name string) func() {
 	return func() { metric.Count(p.metrics, name) }
