Keep a connection open until the server is done with it

A request on a kept or new connection was run and its connection closed without a response, if the entry stopped after the request was read and before net/http took the connection for active (LOST around SIGTERM).

Cause: graceful.conn closed for good when net/http closed a connection that it took for idle, unless a call of Read was under way. Between the return of Read and StateActive, and between the look at the state and the close inside net/http, a request can have been read. Class: net/http's state is taken for what has been read.

Ruled out: Shutdown in place of SetKeepAlivesEnabled(false) drops such a request before it runs.

Change: Close only asks. The connection ends when net/http reports it closed, which it does right after it is done with it, or when a handler has taken it over. A close of a connection from which nothing of a next request has been read ends the wait for one, after a last read for a request that has arrived meanwhile; of one with a part of a head it bounds the rest by the header timeout; the deadline that the server had set is in force again once the request is known. Bytes read since the last response decide, not net/http's state. A byte that net/http reads ahead during a handler counts for the next request. http.Server.Close no longer breaks off requests; the entry does not call it.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -198,6 +198,8 @@
 		clients.IdleTimeout = limits.IdleTimeout
 	}
 
+	connections.HeaderTimeout = clients.ReadHeaderTimeout
+
 	serveErr := make(chan error, 1)
 
 	go func() { serveErr <- clients.Serve(connections) }()
--- a/internal/wire/graceful/conn.go
+++ b/internal/wire/graceful/conn.go
@@ -2,120 +2,185 @@
 
 import (
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// lastReadTimeout bounds the last read of an idle connection that is to be closed. It is long enough to read what has arrived.
+const lastReadTimeout = 10 * time.Millisecond
+
 // errNoLinger is returned by SetLinger if the connection has no such option.
 var errNoLinger = errors.New("the connection has no linger time")
 
-// conn is a connection that is not closed while idle before it is known whether a request has been read.
+// conn is a connection that stays open until the server is done with it, whoever calls Close: net/http also closes connections that it
+// takes for idle while it reads a request from them.
 type conn struct {
 	net.Conn
 	listener *Listener
 
 	mu sync.Mutex
-	// idle is true while the server takes the connection for one without a request, and reading while a call of Read is under way.
-	idle, reading bool
-	// closing is true from a close while idle until the call of Read has ended, or until the request that it has read is done.
-	closing bool
-	// received is true once a call of Read has returned bytes since the close.
+	// active is true while the server takes the connection for one with a request, and hijacked once a handler has taken it over.
+	active, hijacked bool
+	// received is true from the first byte of a request that has been read until its response is complete.
 	received bool
+	// ahead is true if a byte has been read after the end of the request that is being served.
+	ahead bool
+	// closing is true once the connection is to be closed as soon as it has no request.
+	closing bool
+	// deadline is the read deadline that the server has set. It is not in force while limited is true.
+	deadline time.Time
+	limited  bool
 }
 
-func (c *conn) setIdle(idle bool) {
+// Close implements net.Conn. It lets the server end the connection once that has no request.
+func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.idle = idle
+	if c.hijacked {
+		return c.end()
+	}
+
+	if c.closing {
+		return nil
+	}
+
+	c.closing = true
+
+	return c.limitRead()
 }
 
-// Close implements net.Conn. Of an idle connection it ends the call of Read that waits for the next request: if that has read one, the
-// connection is closed after the response.
-func (c *conn) Close() error {
-	c.mu.Lock()
+// end closes the connection for good.
+func (c *conn) end() error {
+	c.listener.remove(c)
+
+	return errors.Wrap(c.Conn.Close(), "close connection")
+}
 
-	if c.idle && c.reading && !c.closing {
-		c.closing = true
-		c.listener.setClosing(c, true)
+// limitRead ends the wait for a request on a connection that is to be closed, and bounds the time to read the rest of a head that has begun.
+func (c *conn) limitRead() error {
+	if c.active || !c.closing {
+		return nil
+	}
 
-		err := c.Conn.SetReadDeadline(time.Unix(1, 0))
-		c.mu.Unlock()
+	c.limited = true
+	limit := time.Unix(1, 0)
 
-		return errors.Wrap(err, "end read")
+	if c.received {
+		limit = earlier(c.deadline, c.listener.headEnd())
 	}
 
-	waits := c.closing && !c.received
-	c.mu.Unlock()
+	return errors.Wrap(c.Conn.SetReadDeadline(limit), "limit read")
+}
 
-	if waits {
-		return nil
+// earlier returns the earlier of two deadlines; the zero time is no deadline.
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
+		return a
 	}
 
-	return c.end()
+	return b
 }
 
-// end closes the connection for good.
-func (c *conn) end() error {
-	c.listener.setClosing(c, false)
+// observe records the state that the server gives the connection.
+func (c *conn) observe(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	return errors.Wrap(c.Conn.Close(), "close connection")
+	// Errors show at the next read.
+	switch state {
+	case http.StateActive:
+		c.active, c.received = true, true
+
+		if c.limited {
+			c.limited = false
+			_ = c.Conn.SetReadDeadline(c.deadline)
+		}
+	case http.StateIdle:
+		c.active, c.received, c.ahead = false, c.ahead, false
+		_ = c.limitRead()
+	case http.StateHijacked:
+		c.hijacked = true
+	case http.StateClosed:
+		_ = c.end()
+	}
+}
+
+// hasRequest reports whether a request is being read or served.
+func (c *conn) hasRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.received
+}
+
+// isClosing reports whether the connection is to be closed.
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.closing
 }
 
 // Read implements net.Conn. The error is that of the connection, since net/http looks at its type.
 func (c *conn) Read(buffer []byte) (int, error) {
-	c.setReading(true)
-
 	n, err := c.Conn.Read(buffer)
 
-	if c.readEnded(n) {
-		_ = c.end()
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.prepareLastRead() {
+		n, err = c.Conn.Read(buffer)
+	}
+
+	if n > 0 {
+		c.record(len(buffer))
 	}
 
 	return n, err //nolint:wrapcheck // see above
 }
 
-func (c *conn) setReading(reading bool) {
+// prepareLastRead reports whether the connection is to be closed without a request. A request that has arrived, but is not read yet, can be
+// read then.
+func (c *conn) prepareLastRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.reading = reading
+	return c.limited && !c.received && c.Conn.SetReadDeadline(time.Now().Add(lastReadTimeout)) == nil
 }
 
-// readEnded records the end of a call of Read and reports whether the connection is to be closed: it was closed while idle, and no request
-// was read.
-func (c *conn) readEnded(n int) bool {
+// record notes that bytes were read into a buffer of a size.
+func (c *conn) record(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.reading = false
-
-	if !c.closing || c.received {
-		return false
+	if c.active {
+		// net/http reads one byte ahead while a handler runs.
+		c.ahead = c.ahead || size == 1
+		return
 	}
 
-	if n == 0 {
-		return true
+	if !c.received {
+		c.received = true
+		// An error shows at the next read.
+		_ = c.limitRead()
 	}
-
-	c.received = true
-	// An error shows at the next read.
-	_ = c.Conn.SetReadDeadline(time.Time{})
-
-	return false
 }
 
-// SetReadDeadline implements net.Conn. It does not prolong a call of Read that Close ends.
+// SetReadDeadline implements net.Conn. It does not prolong the wait for a request on a connection that is to be closed.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.closing && !c.received {
+	c.deadline = deadline
+
+	if c.limited && !c.received {
 		return nil
 	}
 
+	c.limited = false
+
 	return errors.Wrap(c.Conn.SetReadDeadline(deadline), "set read deadline")
 }
 
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -15,76 +15,76 @@
 // pollInterval is the time between two looks at the connections that Wait and WaitInactive wait for.
 const pollInterval = 10 * time.Millisecond
 
-// Listener accepts connections whose close waits while they have a request. Its ObserveState is to be the ConnState of the server.
+// Listener accepts connections that are closed once they have no request. Its ObserveState is to be the ConnState of the server. A call of
+// http.Server.Close does not break off requests. Exported fields are set before use.
 type Listener struct {
 	net.Listener
+	// HeaderTimeout bounds the time to read the rest of a head of which a part has been read when its connection is to be closed; 0 is no
+	// bound.
+	HeaderTimeout time.Duration
 
 	mu sync.Mutex
-	// closing holds the connections that are to be closed as soon as it is known that they have no request, or after it.
-	closing map[*conn]bool
-	// active holds the connections that have a request.
-	active map[*conn]bool
+	// conns holds the connections that are open.
+	conns map[*conn]bool
+	// accepting is true while a call of Accept is under way, and closed once the listener is closed.
+	accepting, closed bool
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.setAccepting()
+
 	accepted, err := l.Listener.Accept()
 	if err != nil {
+		l.add(nil)
 		return nil, errors.Wrap(err, "accept")
 	}
 
-	return &conn{Conn: accepted, listener: l, idle: true}, nil
-}
-
-// ObserveState records the state of a connection; it is the ConnState of an http.Server.
-func (l *Listener) ObserveState(accepted net.Conn, state http.ConnState) {
-	c, ok := accepted.(*conn)
-	if !ok {
-		return
-	}
+	c := &conn{Conn: accepted, listener: l}
+	l.add(c)
 
-	c.setIdle(state == http.StateIdle || state == http.StateNew)
-	l.setActive(c, state == http.StateActive)
+	return c, nil
 }
 
-// WaitInactive returns when no connection has a request, or when the context ends. Unlike http.Server.Shutdown, it lets the server answer
-// requests that arrive meanwhile.
-func (l *Listener) WaitInactive(ctx context.Context) {
-	poll(ctx, func() bool { return l.activeCount() == 0 })
-}
-
-func (l *Listener) activeCount() int {
+// Close implements net.Listener.
+func (l *Listener) Close() error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.closed = true
+	l.mu.Unlock()
 
-	return len(l.active)
+	return errors.Wrap(l.Listener.Close(), "close listener")
 }
 
-func (l *Listener) setActive(c *conn, active bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if !active {
-		delete(l.active, c)
-		return
+// ObserveState records the state of a connection; it is the ConnState of an http.Server.
+func (l *Listener) ObserveState(accepted net.Conn, state http.ConnState) {
+	if c, ok := accepted.(*conn); ok {
+		c.observe(state)
 	}
+}
 
-	if l.active == nil {
-		l.active = map[*conn]bool{}
+// CloseIdle closes the connections without a request, and the others after their response.
+func (l *Listener) CloseIdle() {
+	for _, c := range l.open() {
+		// The server ends the connection even if its reads cannot be limited.
+		_ = c.Close()
 	}
+}
 
-	l.active[c] = true
+// WaitInactive returns when no connection has a request or a part of one, or when the context ends. Unlike http.Server.Shutdown, it lets
+// the server answer requests that arrive meanwhile.
+func (l *Listener) WaitInactive(ctx context.Context) {
+	l.wait(ctx, (*conn).hasRequest)
 }
 
 // Wait returns when no connection is about to be closed, or when the context ends. http.Server.Shutdown does not wait for connections that it
 // has closed as idle.
 func (l *Listener) Wait(ctx context.Context) {
-	poll(ctx, func() bool { return l.closingCount() == 0 })
+	l.wait(ctx, (*conn).isClosing)
 }
 
-// poll returns when done is true, or when the context ends.
-func poll(ctx context.Context, done func() bool) {
-	for !done() {
+// wait returns when the condition holds for no connection, or when the context ends.
+func (l *Listener) wait(ctx context.Context, condition func(*conn) bool) {
+	for l.any(condition) {
 		select {
 		case <-ctx.Done():
 			return
@@ -93,25 +93,77 @@
 	}
 }
 
-func (l *Listener) closingCount() int {
+// any reports whether the condition holds for a connection. It is taken to hold for one that is being accepted from a closed listener.
+func (l *Listener) any(condition func(*conn) bool) bool {
+	if l.isAcceptingLast() {
+		return true
+	}
+
+	for _, c := range l.open() {
+		if condition(c) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (l *Listener) isAcceptingLast() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.accepting && l.closed
+}
+
+func (l *Listener) open() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	conns := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+
+	return conns
+}
+
+func (l *Listener) setAccepting() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return len(l.closing)
+	l.accepting = true
 }
 
-func (l *Listener) setClosing(c *conn, closing bool) {
+// add records the end of a call of Accept, and its connection if there is one.
+func (l *Listener) add(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if !closing {
-		delete(l.closing, c)
+	l.accepting = false
+
+	if c == nil {
 		return
 	}
 
-	if l.closing == nil {
-		l.closing = map[*conn]bool{}
+	if l.conns == nil {
+		l.conns = map[*conn]bool{}
+	}
+
+	l.conns[c] = true
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	delete(l.conns, c)
+}
+
+// headEnd returns the deadline of a head that is being read; the zero time if there is none.
+func (l *Listener) headEnd() time.Time {
+	if l.HeaderTimeout <= 0 {
+		return time.Time{}
 	}
 
-	l.closing[c] = true
+	return time.Now().Add(l.HeaderTimeout)
 }
