Take late requests of a draining entry by their deadline only

Callers saw streams that an entry took after SIGTERM, that ran, and that the end of the process cut off without an answer.

Cause: after the signal an entry took a request if the longest response of its route of the last one to two minutes fitted into what was left. That is a forecast. An entry that started seconds ago, or whose last streams were short, takes a stream of 4 s when 2.3 s are left. Class: a promise given on a guess.

The entry now closes the connections that are left when Run returns, as the end of the process does; without that, tests in one process could not see a cut.

Only what the request itself bounds is a promise. Before that the forecast counts as well.

By the deadline alone an entry refuses all streams from the signal on, and a client, which retries once, often meets a second entry that stops.

--- a/internal/forward/entry/active.go
+++ b/internal/forward/entry/active.go
@@ -54,14 +54,15 @@
 	r.begun = true
 }
 
-// fields returns the log fields of the request, which still runs at the given time.
-func (r *activeRequest) fields(now, signal time.Time) logrus.Fields {
+// fields returns the log fields of the request, which still runs at the given time, so long after the end of the process was announced.
+func (r *activeRequest) fields(now time.Time, since time.Duration) logrus.Fields {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	took := now.Sub(r.request.Arrived)
+
 	return logrus.Fields{
-		fieldRequest: r.request.ID, "route": r.route, "took": now.Sub(r.request.Arrived).Milliseconds(),
-		"since": r.request.Arrived.Sub(signal).Milliseconds(), "ground": r.ground, "server": r.server, "begun": r.begun,
+		fieldRequest: r.request.ID, "route": r.route, "took": took.Milliseconds(), "since": (since - took).Milliseconds(), "ground": r.ground, "server": r.server, "begun": r.begun,
 	}
 }
 
@@ -121,7 +122,8 @@
 // ReportCutOff logs and counts the requests that the end of the process cuts off, and returns their number. It is called when the process
 // ends.
 func (e *Entry) ReportCutOff() int {
-	now, signal := time.Now(), e.drain.signaledAt()
+	now := time.Now()
+	since := e.drain.since(now)
 	cut := e.active.list()
 
 	for i, request := range cut {
@@ -131,7 +133,7 @@
 			continue
 		}
 
-		e.Log.WithFields(request.fields(now, signal)).Warn("request cut off")
+		e.Log.WithFields(request.fields(now, since)).Warn("request cut off")
 	}
 
 	return len(cut)
--- a/internal/forward/entry/active_test.go
+++ b/internal/forward/entry/active_test.go
@@ -19,7 +19,7 @@
 	e.Log = log
 
 	signal := time.Now()
-	e.Drain(signal.Add(time.Second))
+	e.Drain(signal, signal.Add(time.Second))
 
 	for i := range maxCutOffLines + 10 {
 		j := testJob(catalog.AtMostOnce)
--- a/internal/forward/entry/drain.go
+++ b/internal/forward/entry/drain.go
@@ -11,6 +11,9 @@
 const (
 	// durationMemory is how long the duration of a response is remembered at least.
 	durationMemory = time.Minute
+	// forecastTime is how long after the announcement of the end a request is taken on the forecast of its response. A wrong forecast costs
+	// the caller its answer, while a refusal costs a retry, which may meet other entries that stop at the same time.
+	forecastTime = 2500 * time.Millisecond
 	// drainRetry is the retry delay of a request that is refused because this entry stops; another entry takes it at once.
 	drainRetry = 100 * time.Millisecond
 )
@@ -18,24 +21,24 @@
 // drain is the end of the process, once it has been announced.
 type drain struct {
 	mu sync.Mutex
-	// signal is when the end was announced, and end is when requests under way are cut off; zero while the process is not draining.
-	signal, end time.Time
+	// announced is when the end was announced, and end is when requests under way are cut off; zero while the process is not draining.
+	announced, end time.Time
 }
 
 // begin announces the end.
-func (d *drain) begin(signal, end time.Time) {
+func (d *drain) begin(announced, end time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.signal, d.end = signal, end
+	d.announced, d.end = announced, end
 }
 
-// signaledAt returns when the end was announced; zero while the process is not draining.
-func (d *drain) signaledAt() time.Time {
+// since returns the time since the end was announced; it has no meaning while the process is not draining.
+func (d *drain) since(now time.Time) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.signal
+	return now.Sub(d.announced)
 }
 
 // left returns the time until requests under way are cut off; false while the process is not draining.
@@ -91,7 +94,8 @@
 	ground       drainGround
 }
 
-// checkDrain refuses a request that may still be under way when this process ends. By its deadline it has an answer in any case.
+// checkDrain refuses a request that may still be under way when this process ends. By its deadline it has an answer in any case; the longest
+// response of late is only a forecast.
 func (e *Entry) checkDrain(j *job) (drainDecision, *fault.Error) {
 	now := time.Now()
 
@@ -101,7 +105,9 @@
 	}
 
 	decision := drainDecision{left: left, needed: j.remaining(), ground: groundDeadline}
-	if expected, ok := e.durations.expected(now, j.route.Name); ok && expected < decision.needed {
+
+	expected, known := e.durations.expected(now, j.route.Name)
+	if known && e.drain.since(now) < forecastTime && expected < decision.needed {
 		decision.needed, decision.ground = expected, groundForecast
 	}
 
--- a/internal/forward/entry/drain_test.go
+++ b/internal/forward/entry/drain_test.go
@@ -10,12 +10,14 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 )
 
-// Guards against a request that is taken although it may be cut off at the end of the process, and against the refusal of one that ends before
-// (LOST).
+// Guards against a request that is taken although it may be cut off at the end of the process, also because earlier ones were shorter, and
+// against the refusal of one that ends before (LOST).
 func TestRequestsOfADrainingEntry(t *testing.T) {
 	cases := map[string]struct {
 		// left is the time until the end of the process; 0 if it is not draining.
-		left     time.Duration
+		left time.Duration
+		// since is the time since that end was announced.
+		since    time.Duration
 		deadline time.Duration
 		took     []time.Duration
 		refused  bool
@@ -25,6 +27,8 @@
 		"deadline after the end, unknown": {left: 5 * time.Second, deadline: 10 * time.Second, refused: true},
 		"ends by the time it takes":       {left: 5 * time.Second, deadline: 10 * time.Second, took: []time.Duration{time.Second, 3 * time.Second}},
 		"the longest may be cut":          {left: 5 * time.Second, deadline: 10 * time.Second, took: []time.Duration{time.Second, 6 * time.Second}, refused: true},
+		"late, earlier ones were shorter": {left: 2300 * time.Millisecond, since: 3200 * time.Millisecond, deadline: 10 * time.Second, took: []time.Duration{500 * time.Millisecond}, refused: true},
+		"late, ends by its deadline":      {left: 2300 * time.Millisecond, since: 3200 * time.Millisecond, deadline: 2 * time.Second, took: []time.Duration{500 * time.Millisecond}},
 		"after the end":                   {left: -time.Second, deadline: time.Second, refused: true},
 	}
 
@@ -39,7 +43,7 @@
 			}
 
 			if c.left != 0 {
-				e.Drain(time.Now().Add(c.left))
+				e.Drain(time.Now().Add(-c.since), time.Now().Add(c.left))
 			}
 
 			_, err := e.checkDrain(j)
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -148,10 +148,11 @@
 	e.minVersions.require(link.Adapter{Model: model, Name: adapter}, version)
 }
 
-// Drain makes Ready report false for the rest of the process, which cuts off at the given time what is under way. Requests that may
-// end before are still served, while all those at an entry of internal/entry are refused once it is draining.
-func (e *Entry) Drain(end time.Time) {
-	e.drain.begin(time.Now(), end)
+// Drain makes Ready report false for the rest of the process, whose end was announced at the first time, and which cuts off at the second
+// what is under way. Requests that may end before are still served, while all those at an entry of internal/entry are refused once it is
+// draining.
+func (e *Entry) Drain(announced, end time.Time) {
+	e.drain.begin(announced, end)
 }
 
 // Draining reports whether Drain was called.
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -218,10 +218,11 @@
 // drainClients answers the requests of clients until none is under way or the grace period is over, and closes the listener once the
 // platform sends no new clients. net/http would drop requests that arrive during a shutdown, so that it is shut down last.
 func (p *process) drainClients(ctx context.Context, server *entry.Entry, clients *http.Server, connections *graceful.Listener) {
-	end := time.Now().Add(p.settings.Bounds.GracePeriod - graceMargin)
+	announced := time.Now()
+	end := announced.Add(p.settings.Bounds.GracePeriod - graceMargin)
 
 	p.log.WithField("left", time.Until(end).Milliseconds()).WithField("active", server.ActiveCount()).Info("process is stopping")
-	server.Drain(end)
+	server.Drain(announced, end)
 	clients.SetKeepAlivesEnabled(false)
 	time.Sleep(min(drainDelay, time.Until(end)))
 
@@ -236,6 +237,10 @@
 
 	err := clients.Shutdown(closing)
 	connections.Wait(closing)
-	p.log.WithField("cut", server.ReportCutOff()).WithError(err).Info("process stopped")
+
+	cut := server.ReportCutOff()
+	_ = clients.Close()
+
+	p.log.WithField("cut", cut).WithError(err).Info("process stopped")
 	p.flushLog()
 }
