Check before each send whether the process ends too early

Callers could see a request cut off at the end of the grace period that an entry had taken before SIGTERM, or early after it, and had sent only later: a server refused it first, its client account or the origin of its stream was asked for, or an agent gave a permit.

Cause: the check of a draining entry was made once, when the request was taken. Class: a promise given on what was known earlier.

The check is made before each send. One that may have run is sent on: a refusal would be false, and an error would cost its client the answer that it may still get.

--- a/internal/forward/entry/drain.go
+++ b/internal/forward/entry/drain.go
@@ -94,6 +94,18 @@
 	ground       drainGround
 }
 
+// checkDrainBeforeSend refuses a request that has not run anywhere, and that may still be under way when this process ends. One that may have
+// run cannot be refused truthfully, and is sent on.
+func (e *Entry) checkDrainBeforeSend(j *job) *fault.Error {
+	if j.runs > 0 {
+		return nil
+	}
+
+	_, err := e.checkDrain(j)
+
+	return err
+}
+
 // checkDrain refuses a request that may still be under way when this process ends. By its deadline it has an answer in any case; the longest
 // response of late is only a forecast.
 func (e *Entry) checkDrain(j *job) (drainDecision, *fault.Error) {
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -54,6 +54,10 @@
 
 	for {
 		server, err := e.choose(ctx, j)
+		if err == nil {
+			err = e.checkDrainBeforeSend(j)
+		}
+
 		if err == nil {
 			err = e.Quarantine.admit(j)
 		}
