Let a second SIGTERM not end a program on the users' platform

Callers saw streams cut off by a second SIGTERM to their entry, or to the agent of their server.

Cause: each program of the binary ended at once at a second signal, which is meant for operators at a terminal. The users' platform ends a process by SIGKILL once the grace period is over, and may send SIGTERM again before.

Evidence: TestFurtherSignalsDoNotShortenTheGracePeriod (SIGTERM, SIGTERM, SIGHUP, SIGTERM at 0.1 s intervals and a new configuration) fails on the code before for entries and agents: "cut after 6 events" of 180. Ruled out by the same test: SIGHUP and a new configuration beside SIGTERM cut nothing.

Programs on the users' platform ignore a further SIGTERM; SIGINT still ends them. The product's own entry and agent end at the second one as before (TestTerminate), as their operators are told.

--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -58,7 +58,7 @@
 		parser.Fail("a subcommand is required: entry, agent, ctl, check, standin or hosted")
 	}
 
-	os.Exit(run(selected))
+	os.Exit(run(selected, args.Hosted != nil))
 }
 
 func (a *arguments) selected() subcommand {
@@ -80,8 +80,8 @@
 	}
 }
 
-// run runs the subcommand and returns the exit code of the process.
-func run(selected subcommand) int {
+// run runs the subcommand, of which hosted tells whether the users' platform runs it, and returns the exit code of the process.
+func run(selected subcommand, hosted bool) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
@@ -89,7 +89,7 @@
 	signals := make(chan os.Signal, signalBufferSize)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 
-	go shutdownOnSignal(signals, cancel)
+	go shutdownOnSignal(signals, cancel, hosted)
 
 	err := selected.Run(ctx)
 	if err == nil {
@@ -106,10 +106,15 @@
 	return 1
 }
 
-// shutdownOnSignal starts a graceful shutdown at the first signal and ends the process at the second one.
-func shutdownOnSignal(signals <-chan os.Signal, shutdown func()) {
+// shutdownOnSignal starts a graceful shutdown at the first signal and ends the process at the second one. The users' platform ends a hosted
+// process by SIGKILL after the grace period, so that a further SIGTERM does not end it.
+func shutdownOnSignal(signals <-chan os.Signal, shutdown func(), hosted bool) {
 	<-signals
 	shutdown()
-	<-signals
-	os.Exit(exitTerminated)
+
+	for received := range signals {
+		if !hosted || received != syscall.SIGTERM {
+			os.Exit(exitTerminated)
+		}
+	}
 }
