Answer requests that have arrived when an entry drains

An entry that had no active request when it closed its listener dropped requests that had arrived: one whose head had come in part, one read or parsed but not known to net/http, one that lay unread on a new connection, and one on a connection that was accepted but not served.

Cause: the wait counted connections that net/http had reported active, and was followed by http.Server.Shutdown, which closes a connection from which it reads a request. Class: a stop that looks at what is known to run, not at what has been read or has arrived.

Evidence: TestDrainAnswersRequestsThatHaveArrived holds a request for 2 s at each of these points.

Ruled out: none of these requests was run without a response. Net/http reads them, or the connection is closed with them unread.

Change: Listener.Drain closes the listener, waits until no connection has a byte of a request and no accepted connection is unknown, closes the others after a last read, and waits for those on which that read found a request. It is called in place of the wait. Shutdown comes last, for what is left when the grace period is over. A part of a head holds the drain up for the header timeout at most.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -229,8 +229,7 @@
 	draining, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
 	defer cancel()
 
-	_ = connections.Close()
-	connections.WaitInactive(draining)
+	connections.Drain(draining)
 
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer stop()
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// pollInterval is the time between two looks at the connections that Wait and WaitInactive wait for.
+// pollInterval is the time between two looks at the connections that Drain and Wait wait for.
 const pollInterval = 10 * time.Millisecond
 
 // Listener accepts connections that are closed once they have no request. Its ObserveState is to be the ConnState of the server. A call of
@@ -62,18 +62,13 @@
 	}
 }
 
-// CloseIdle closes the connections without a request, and the others after their response.
-func (l *Listener) CloseIdle() {
-	for _, c := range l.open() {
-		// The server ends the connection even if its reads cannot be limited.
-		_ = c.Close()
-	}
-}
-
-// WaitInactive returns when no connection has a request or a part of one, or when the context ends. Unlike http.Server.Shutdown, it lets
-// the server answer requests that arrive meanwhile.
-func (l *Listener) WaitInactive(ctx context.Context) {
+// Drain closes the listener, lets the server answer the requests that arrive until no connection has one, and closes the connections. It
+// returns when they are closed, or when the context ends. Unlike http.Server.Shutdown, it drops no request that has been read.
+func (l *Listener) Drain(ctx context.Context) {
+	_ = l.Close()
 	l.wait(ctx, (*conn).hasRequest)
+	l.closeIdle()
+	l.Wait(ctx)
 }
 
 // Wait returns when no connection is about to be closed, or when the context ends. http.Server.Shutdown does not wait for connections that it
@@ -82,6 +77,14 @@
 	l.wait(ctx, (*conn).isClosing)
 }
 
+// closeIdle closes the connections without a request, and the others after their response.
+func (l *Listener) closeIdle() {
+	for _, c := range l.open() {
+		// The server ends the connection even if its reads cannot be limited.
+		_ = c.Close()
+	}
+}
+
 // wait returns when the condition holds for no connection, or when the context ends.
 func (l *Listener) wait(ctx context.Context, condition func(*conn) bool) {
 	for l.any(condition) {
--- a/internal/wire/graceful/parse_test.go
+++ b/internal/wire/graceful/parse_test.go
@@ -31,6 +31,8 @@
 	http.Server
 	listener *graceful.Listener
 	dialer   *pipe.Listener
+	// wrap changes the listener below the graceful one; may be nil.
+	wrap func(net.Listener) net.Listener
 	// onParsed is called when the head of a request has been parsed and the connection isn't yet taken for active.
 	onParsed func()
 	// afterRead is called when bytes have been read from the connection and the graceful listener doesn't know of them yet.
@@ -66,7 +68,13 @@
 	}
 
 	s.dialer = pipe.New()
-	s.listener = &graceful.Listener{Listener: hookedListener{s.dialer, s.afterRead}, HeaderTimeout: testHeaderTimeout}
+
+	var raw net.Listener = hookedListener{s.dialer, s.afterRead}
+	if s.wrap != nil {
+		raw = s.wrap(raw)
+	}
+
+	s.listener = &graceful.Listener{Listener: raw, HeaderTimeout: testHeaderTimeout}
 	s.ConnState, s.ReadHeaderTimeout, s.IdleTimeout = s.observe, testHeaderTimeout, testIdleTimeout
 
 	go func() { _ = s.Serve(s) }()
