--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -46,12 +46,17 @@
 	return c, nil
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. A second call does nothing.
 func (l *Listener) Close() error {
 	l.mu.Lock()
+	closed := l.closed
 	l.closed = true
 	l.mu.Unlock()
 
+	if closed {
+		return nil
+	}
+
 	return errors.Wrap(l.Listener.Close(), "close listener")
 }
 
