Allow for a signal that a draining entry has read late

Callers could see a stream cut off by SIGKILL that an entry had taken after SIGTERM, as it would have ended within the grace period.

Cause: an entry counted its grace period from when it read SIGTERM. One that was stopped or got no processor time reads it late, and SIGKILL comes by the clock of the platform. The margin of 0.5 s covers the exit, not the stall.

An entry now records every 0.1 s that it runs (core/stall). The signal was sent after the last tick before the stall in which it was read, so that the time since then, beyond 0.2 s, may be gone from the grace period. Promises for new requests go by what is left then, as does the time in which a forecast counts. Requests under way are not cut earlier: they run to the end by the reading, or to SIGKILL. "process is stopping" names the delay.

A longer margin instead was ruled out: it would take time from every stop, and no fixed one covers a stall of seconds. An agent needs nothing of this: it promises nothing after the signal.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/entry"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
@@ -129,6 +130,7 @@
 	servers.OnChange = server.Wake
 	server.RegisterGauges()
 
+	go p.stalls.Run(ctx)
 	go server.SyncLinks(ctx)
 	go (&roster.Roster{Store: store, Name: settings.VM, Alone: server.WithoutAgents, OnCount: server.Links.HearEntries, Log: p.log}).Run(ctx)
 	go (&watch.Watcher{
@@ -218,11 +220,15 @@
 // drainClients answers the requests of clients until none is under way or the grace period is over, and closes the listener once the
 // platform sends no new clients. net/http would drop requests that arrive during a shutdown, so that it is shut down last.
 func (p *process) drainClients(ctx context.Context, server *entry.Entry, clients *http.Server, connections *graceful.Listener) {
-	announced := time.Now()
-	end := announced.Add(p.settings.Bounds.GracePeriod - graceMargin)
+	now := time.Now()
+	end := now.Add(p.settings.Bounds.GracePeriod - graceMargin)
 
-	p.log.WithField("left", time.Until(end).Milliseconds()).WithField("active", server.ActiveCount()).Info("process is stopping")
-	server.Drain(announced, end)
+	// The grace period began when the signal was sent. What is promised from now on fits into the least that may be left of it.
+	late := p.stalls.Late(now)
+	server.Drain(now.Add(-late), end.Add(-late))
+
+	p.log.WithFields(logrus.Fields{"left": time.Until(end).Milliseconds(), "late": late.Milliseconds(), "active": server.ActiveCount()}).
+		Info("process is stopping")
 	clients.SetKeepAlivesEnabled(false)
 	time.Sleep(min(drainDelay, time.Until(end)))
 
--- a/internal/program/hosted/process.go
+++ b/internal/program/hosted/process.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/logs"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/stall"
 	"github.com/chestnutbeam/chestnutbeam/platform"
 )
 
@@ -49,6 +50,8 @@
 	hangups chan os.Signal
 	log     logrus.FieldLogger
 	metrics metrics.Registry
+	// stalls tells how late a signal may have been read.
+	stalls stall.Monitor
 	// writer is where the log goes.
 	writer *logs.Writer
 }
