End connections that are left when an entry returns from Run

With connections that stay open until the server is done with them, http.Server.Close no longer breaks off requests, so that tests in one process could not see what the end of the process cuts off. Listener.Abort does it.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -244,7 +244,7 @@
 	connections.Wait(closing)
 
 	cut := server.ReportCutOff()
-	_ = clients.Close()
+	connections.Abort()
 
 	p.log.WithField("cut", cut).WithError(err).Info("process stopped")
 	p.flushLog()
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -82,6 +82,13 @@
 	l.wait(ctx, (*conn).isClosing)
 }
 
+// Abort closes all connections at once, also those with a request.
+func (l *Listener) Abort() {
+	for _, c := range l.open() {
+		_ = c.end()
+	}
+}
+
 // closeIdle closes the connections without a request, and the others after their response.
 func (l *Listener) closeIdle() {
 	for _, c := range l.open() {
