Bound the heads and events that are kept of all responses together

What callers saw: nothing yet. Responses to many requests at once, each within the bound of one head or one event, fill the memory of the entry or agent that reads them, and the requests of all its clients end (LOST).

Cause: heads were bounded at 64 KB and events at 1 MB for each response, and not in sum. A head takes far more memory than its bytes: a field of a few bytes is an entry of a map, and the head is kept until the response has ended.

Evidence, on the code before: TestHeadsOfAllResponsesAreBounded measured 531 kB for each of 200 heads of 48 KB without an end and 467 kB for each whole one; TestIncompleteEventsOfAllResponsesAreBounded 181 MB for 200 events of 900 KB, at entries with 256 MB.

Ruled out: chunk sizes and extensions, trailers, interim responses, and bodies of refusals or of responses to other requests: TestEndlessBytes bounds each of them at 64 KB or below.

Change: what a head takes beyond its first 8 KB and an incomplete event beyond 64 KB is reserved from a budget of a sixteenth of the memory of the process. While there is too little, the response that needs it fails as one that is too long. Responses of the usual size never need the budget.

Result: both tests pass, with a bound of the budget and 64 to 128 KB for each response.

--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
@@ -72,6 +73,8 @@
 	Pool *conn.Pool
 	// PlainClient sends requests to the servers of plain services, which run no models.
 	PlainClient *upstream.Client
+	// ResponseMemory bounds the memory of the incomplete events of all responses; nil for no bound.
+	ResponseMemory *memory.Budget
 	// Limiter takes the cost of requests from the quotas of client accounts.
 	Limiter *quota.Limiter
 	Log     logrus.FieldLogger
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
@@ -194,7 +195,8 @@
 		j.splitter.Resume()
 	}
 
-	response := &response{entry: e, job: j, server: server}
+	response := newResponse(e, j, server)
+	defer response.kept.Release()
 
 	var last message.Event
 	if j.service.Engine != nil {
@@ -232,14 +234,28 @@
 	withheldBytes int
 	// rejected is why no more of the response is read; nil if it is read to its end.
 	rejected error
+	// kept is the memory of the incomplete event.
+	kept memory.Reservation
+}
+
+func newResponse(e *Entry, j *job, server fleet.Server) *response {
+	return &response{entry: e, job: j, server: server, kept: memory.Reservation{Budget: e.ResponseMemory, Free: freeEventBytes}}
 }
 
 // maxWithheldBytes is the size of the body of an error that is read to use the connection again.
 const maxWithheldBytes = 64 << 10
 
+const (
+	// eventCopies is the number of times that the bytes of an incomplete event are kept, as its buffer grows.
+	eventCopies = 2
+	// freeEventBytes is the memory that an incomplete event may take without a reservation.
+	freeEventBytes = 64 << 10
+)
+
 var (
 	errNotContinued = errors.New("the response does not continue the stream of the earlier server")
 	errErrorTooLong = errors.New("the body of an error is too long")
+	errEventMemory  = errors.New("the events of other responses take the memory for incomplete events")
 )
 
 // handle handles one event; an error means that the client has disconnected.
@@ -305,6 +321,10 @@
 		return r.reject(events.ErrTooLong)
 	}
 
+	if !r.kept.Resize(eventCopies * int64(len(r.job.splitter.Remainder()))) {
+		return r.reject(errEventMemory)
+	}
+
 	return nil
 }
 
--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
@@ -51,6 +52,8 @@
 	// VerifyEnds has the client open a connection after each response whose end is marked only by that of its connection, to find out
 	// whether the server has ended. Such a response counts as broken off.
 	VerifyEnds bool
+	// Memory bounds the memory of the response heads of all requests under way, beyond their usual size; nil for no bound.
+	Memory *memory.Budget
 
 	idle idlePool[string, *conn]
 }
@@ -69,6 +72,9 @@
 	x := &exchange{client: c, conn: ready, delivery: delivery, emit: emit}
 	stop := context.AfterFunc(ctx, func() { _ = ready.Close() })
 	event, reuse := x.run()
+
+	ready.head.kept.Release()
+
 	event = c.verifyEnd(ctx, address, event, &x.info)
 
 	if stop() && reuse && x.settled() {
@@ -100,7 +106,7 @@
 		return nil, err
 	}
 
-	return newConn(raw), nil
+	return newConn(raw, c.Memory), nil
 }
 
 // open opens a connection.
--- a/internal/forward/upstream/conn.go
+++ b/internal/forward/upstream/conn.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
 )
 
 const (
@@ -42,8 +44,8 @@
 	carried carriedRequests
 }
 
-func newConn(raw net.Conn) *conn {
-	head := &headLimiter{from: raw}
+func newConn(raw net.Conn, budget *memory.Budget) *conn {
+	head := &headLimiter{from: raw, kept: memory.Reservation{Budget: budget, Free: freeHeadBytes}}
 
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, carried: carriedRequests{}}
 }
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -195,7 +195,7 @@
 			return nil, err
 		}
 
-		x.conn.head.stop()
+		x.conn.head.stop(response.Header)
 
 		info := x.client.Codec.Decode(response.StatusCode, response.Header)
 		first := !x.conn.used
--- a/internal/program/hosted/agent.go
+++ b/internal/program/hosted/agent.go
@@ -39,7 +39,7 @@
 
 	server := &agent.Agent{
 		Engine:       platform.NewEngine(p.settings.ModelServerAddress, p.settings.VM),
-		Upstream:     &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened"), VerifyEnds: true},
+		Upstream:     &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened"), VerifyEnds: true, Memory: p.responseMemory()},
 		Address:      p.settings.ModelServerAddress,
 		Listener:     upstream.Listener{Listener: listener},
 		Log:          p.log,
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -95,7 +95,7 @@
 		Fleet:       servers,
 		Freshness:   operator.Freshness,
 		Pool:        pool,
-		PlainClient: &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened")},
+		PlainClient: &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened"), Memory: p.responseMemory()},
 		Log:         p.log,
 		Metrics:     p.metrics,
 		Changed:     make(chan struct{}, 1),
@@ -103,6 +103,7 @@
 		Quarantine:  &entry.Quarantine{Log: p.log, Metrics: p.metrics, Tracker: quarantine.Tracker{Random: rand.Float64}},
 	}
 
+	server.ResponseMemory = server.PlainClient.Memory
 	server.PlainClient.OnNotice, server.PlainClient.OnLimit = server.ObserveNotice, server.ObserveLimit
 	server.Links = &link.Links{
 		Pool: pool, Port: settings.FirstPort, Log: p.log, Operator: operator, Servers: listing, Quarantine: server.Quarantine, FirstStart: settings.FirstStart,
--- a/internal/program/hosted/process.go
+++ b/internal/program/hosted/process.go
@@ -19,6 +19,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/logs"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/stall"
 	"github.com/chestnutbeam/chestnutbeam/platform"
@@ -39,6 +40,9 @@
 	headerTimeout = 5 * time.Second
 	// flushTimeout limits the wait for the last lines of the log.
 	flushTimeout = 100 * time.Millisecond
+	// responseMemoryShare is the part of the memory of the process, as a divisor, that large heads and incomplete events of responses may
+	// take.
+	responseMemoryShare = 16
 )
 
 // process holds what entries and agents have in common.
@@ -95,6 +99,11 @@
 	return p, nil
 }
 
+// responseMemory returns the budget of what is kept of responses under way.
+func (p *process) responseMemory() *memory.Budget {
+	return &memory.Budget{Limit: p.settings.MemoryLimit / responseMemoryShare}
+}
+
 // load reads the settings file.
 func (p *process) load() error {
 	data, err := platform.ReadSettings()
