--- a/internal/forward/upstream/endless_test.go
+++ b/internal/forward/upstream/endless_test.go
@@ -117,7 +117,13 @@
 // Guards against a stalled stream that never ends because the server sends a byte now and then, and against a slow but sound one
 // that is cut.
 func TestProgressOfAStreamIsWholeEvents(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nMark: 1\r\nContent-Type: text/event-stream\r\n\r\n"
+	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nMark: 1\r\n"
+
+	heads := map[string]string{
+		"event stream":    head + "Content-Type: text/event-stream\r\n\r\n",
+		"another type":    head + "Content-Type: text/html\r\n\r\n",
+		"no content type": head + "\r\n",
+	}
 
 	cases := map[string]struct {
 		piece string
@@ -131,17 +137,22 @@
 	}
 
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+		for kind, start := range heads {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
 
-			address := serveEndless(t, head, c.piece, 100*time.Millisecond)
+				address := serveEndless(t, start, c.piece, 100*time.Millisecond)
 
-			// The read timeout of delivery is 300 ms.
-			ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
-			defer cancel()
+				// The read timeout of delivery is 300 ms.
+				ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+				defer cancel()
 
-			_, _ = (&upstream.Client{Codec: codec{}}).Exchange(ctx, address, delivery("1"), func(message.Event) error { return nil })
-			assert.Equal(t, ctx.Err() == nil, c.cut)
-		})
+				request := delivery("1")
+				request.Stream = true
+
+				_, _ = (&upstream.Client{Codec: codec{}}).Exchange(ctx, address, request, func(message.Event) error { return nil })
+				assert.Equal(t, ctx.Err() == nil, c.cut)
+			})
+		}
 	}
 }
