Quote little of what a server has sent in place of a response

What callers saw: the error of a request at an agent, which its client gets in the message of a 502, quoted up to 48 KB of what the server had sent. So did the log lines of the agent and the entry, and the errors of reports, orders and calls of the store: each attempt, once for each process.

Cause: net/http quotes a line that it can't read in whole.

Ruled out: errors of connections, which name addresses only, and a status line without a version, which net/http doesn't quote further.

Change: an error that may quote a server is cut after 512 bytes.

--- a/internal/forward/upstream/endless_test.go
+++ b/internal/forward/upstream/endless_test.go
@@ -156,3 +156,25 @@
 		}
 	}
 }
+
+// Guards against log lines, messages to entries and answers to clients that quote all that a server has sent in place of a response.
+func TestErrorsQuoteLittleOfWhatAServerHasSent(t *testing.T) {
+	garbage := strings.Repeat("x", 48<<10)
+
+	for name, response := range map[string]string{
+		"status line": garbage + " y\r\n\r\n", "version": garbage + " 200 OK\r\n\r\n", "status": "HTTP/1.1 " + garbage + "\r\n\r\n",
+		"field": "HTTP/1.1 200 OK\r\n" + garbage + "\r\n\r\n", "length": "HTTP/1.1 200 OK\r\nContent-Length: " + garbage + "\r\n\r\n",
+		"coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + garbage + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			server := serve(t, response+"<close>")
+			_, _, last := exchange(t, &upstream.Client{Codec: codec{}}, server.address, "r1")
+
+			failed, ok := last.(message.Failed)
+			assert.Assert(t, ok, "%#v", last)
+			assert.Assert(t, len(failed.Err.Error()) < 1<<10, "%d bytes", len(failed.Err.Error()))
+		})
+	}
+}
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -257,7 +257,7 @@
 	for {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
-			return nil, errors.Wrap(err, "read response")
+			return nil, errors.Wrap(fault.Bounded(err), "read response")
 		}
 
 		if !framing.IsInterim(response) {
