Bound the heads of responses on the product's own path

What callers saw: nothing yet. A plain service, a model server or a service of the platform that sends a head without end makes its caller keep 10 MB of it for each call under way.

Cause: the clients of the product's own path left the limit of net/http as it is, 10 MB. Those of the hosted path have 64 KB.

Evidence, on the code before: TestHeadWithoutEndIsNotKept failed in both packages: a head of 4 MB was read ("is nil").

Ruled out: bodies, which have limits of 16 and 64 MB, and lines of streams, which have 1 MB. They are not bounded in sum; that is open.

Change: the same limit of 64 KB.

Result: the tests pass.

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -31,6 +31,8 @@
 	DialContext:        (&net.Dialer{Timeout: rest.DialTimeout}).DialContext,
 	DisableKeepAlives:  true,
 	DisableCompression: true,
+
+	MaxResponseHeaderBytes: rest.MaxHeadBytes,
 }}
 
 // connectionHeaders are the hop-by-hop headers, which are removed from responses.
--- a/internal/backend/service/status_test.go
+++ b/internal/backend/service/status_test.go
@@ -1,6 +1,9 @@
 package service_test
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,8 +22,19 @@
 
 			client := &service.Client{URL: serveRaw(t, line+"\r\nContent-Length: 2\r\n\r\n{}")}
 
-			_, err := client.Call(t.Context(), service.Request{Method: "POST", Path: "/book"})
+			_, err := client.Call(t.Context(), service.Request{Method: http.MethodPost, Path: "/book"})
 			assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
 		})
 	}
 }
+
+// Guards against a head without end of a plain service that its caller keeps.
+func TestHeadWithoutEndIsNotKept(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X", strings.Repeat("x", 4<<20))
+	}))
+	t.Cleanup(server.Close)
+
+	_, err := (&service.Client{URL: server.URL}).Call(t.Context(), service.Request{Method: http.MethodPost, Path: "/book"})
+	assert.Assert(t, fault.Is(err, fault.OutcomeUnknown), "%v", err)
+}
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -26,6 +26,8 @@
 	// maxIdleConnsPerHost is the maximum number of idle connections per address; a batch of requests to one model server
 	// uses that many at once.
 	maxIdleConnsPerHost = 64
+	// MaxHeadBytes is the largest response head that is read, in bytes.
+	MaxHeadBytes = 64 << 10
 	// idleConnTimeout is how long an idle connection is kept.
 	idleConnTimeout = 30 * time.Second
 )
@@ -37,6 +39,8 @@
 	MaxIdleConnsPerHost: maxIdleConnsPerHost,
 	IdleConnTimeout:     idleConnTimeout,
 	DisableCompression:  true,
+
+	MaxResponseHeaderBytes: MaxHeadBytes,
 }}
 
 // ErrTooLarge is returned for a response body above BodyLimit.
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -68,3 +68,13 @@
 		})
 	}
 }
+
+// Guards against a head without end that a call keeps.
+func TestHeadWithoutEndIsNotKept(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X", strings.Repeat("x", 4<<20))
+	}))
+	t.Cleanup(server.Close)
+
+	assert.Assert(t, rest.JSON(t.Context(), rest.Call{Method: http.MethodGet, URL: server.URL}, nil, nil) != nil)
+}
