Keep a stopping agent until no more requests arrive

Callers could get 502 for a request that runs once at most and had never run, while the agent of its server stopped.

Cause: an agent ended 0.5 s after SIGTERM once nothing ran at its server, in the belief that all entries had heard of it by then. Requests of entries that had not, such as a starved one, were broken off on their way, which leaves their outcome unknown. Class: a promise given on a guess (that nothing comes any more).

Refusals that are being sent count as under way, too. The grace period bounds it as before.

--- a/internal/forward/agent/active.go
+++ b/internal/forward/agent/active.go
@@ -33,6 +33,7 @@
 	}
 
 	a.exchanges[exchange] = true
+	a.lastArrival = arrived
 
 	return exchange
 }
--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -35,9 +35,9 @@
 	// orderTimeout limits the wait for the response to an order. After a timeout, the next report shows whether the order was
 	// accepted.
 	orderTimeout = 500 * time.Millisecond
-	// drainDelay is how long a process in shutdown waits for requests that entries have already sent, and drainPollPeriod
-	// the time between two checks for running requests.
-	drainDelay      = 500 * time.Millisecond
+	// drainQuiet is how long no request must have arrived before a process in shutdown ends: entries may have sent others already. It
+	// checks every drainPollPeriod.
+	drainQuiet      = 500 * time.Millisecond
 	drainPollPeriod = 50 * time.Millisecond
 	// sweepPeriod is the time between two sweeps of idle connections that the server has closed.
 	sweepPeriod = time.Second
@@ -90,6 +90,8 @@
 	ended bool
 	// exchanges holds the requests whose outcome has not been sent yet.
 	exchanges map[*activeExchange]bool
+	// lastArrival is when the latest request arrived.
+	lastArrival time.Time
 	// bodyBytes is the size of the bodies of the requests that wait or run.
 	bodyBytes int64
 	// watchers holds the entries that watch the state.
@@ -100,7 +102,7 @@
 	wake chan struct{}
 }
 
-// Run serves until the context ends and running requests have finished or DrainTimeout has passed.
+// Run serves until the context ends, and then until no request is under way or has arrived for drainQuiet, or DrainTimeout has passed.
 func (a *Agent) Run(ctx context.Context) error {
 	a.wake = make(chan struct{}, 1)
 	a.waiters = map[*schedule.Request]chan schedule.Action{}
@@ -124,7 +126,7 @@
 	return err
 }
 
-// drain waits for the end of the context, refuses new requests, and calls stop once running requests have finished or
+// drain waits for the end of the context, refuses new requests, and calls stop once no request is under way or has arrived for drainQuiet, or
 // DrainTimeout has passed.
 func (a *Agent) drain(ctx context.Context, stop context.CancelFunc) {
 	<-ctx.Done()
@@ -140,23 +142,20 @@
 	a.Log.WithField("left", a.DrainTimeout.Milliseconds()).WithField("active", active).Info("process is stopping")
 
 	// The state tells entries to send no more requests.
-	drainDeadline := signal.Add(a.DrainTimeout)
-	time.Sleep(drainDelay)
-
-	for time.Now().Before(drainDeadline) && a.running() > 0 {
+	for drainDeadline := signal.Add(a.DrainTimeout); time.Now().Before(drainDeadline) && !a.isQuiet(signal); {
 		time.Sleep(drainPollPeriod)
 	}
 
-	a.Log.WithField("cut", a.reportCutOff(signal)).WithField("running", a.running()).Info("process stopped")
+	a.Log.WithField("cut", a.reportCutOff(signal)).Info("process stopped")
 	stop()
 }
 
-// running returns the number of running requests.
-func (a *Agent) running() int {
+// isQuiet reports whether no request is under way, and none has arrived for drainQuiet since the signal.
+func (a *Agent) isQuiet(signal time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return a.scheduler.State(time.Now()).Running
+	return len(a.exchanges) == 0 && time.Since(signal) >= drainQuiet && time.Since(a.lastArrival) >= drainQuiet
 }
 
 // controlLoop polls the reports of the model server, sends orders and dispatches requests, one step at a time.
