Count the first response of the store from its request

What callers saw: nothing yet. An entry that stands still between the request and the reading of its first response, at its start or after a restore of the store, takes what it read for as new as the reading. For as long as it stood still it goes by an old list and an old configuration (ORDER, CONFIG).

Cause: the age of a confirmation is counted by the store's clock, which the fastest response so far maps to the local one. The first response after a reset has none to compare with, so that it counted as read at once.

Ruled out: later responses, which TestAge has, and confirmations by way of agents, whose age counts from the reading that their receiver sent.

Change: without a mapping, a confirmation is as old as its request. The request is timed by the clock of the tracker, as all else is; the watcher took another one, which differs in tests only.

--- a/internal/forward/freshness/freshness.go
+++ b/internal/forward/freshness/freshness.go
@@ -20,8 +20,8 @@
 }
 
 // Tracker tracks the age of the configuration. It maps the store's monotonic clock to the local one, so that an answer that was
-// read late does not count as recent. An age is too low by at most the latency of the fastest answer. It is safe for concurrent
-// use.
+// read late does not count as recent: an age is too low by at most the latency of the fastest answer, and that of the first answer not at
+// all. It is safe for concurrent use.
 type Tracker struct {
 	// Now returns the local time; nil uses Clock.
 	Now func() time.Duration
@@ -51,16 +51,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if offset := now - store; !t.hasOffset || offset < t.offset {
-		t.offset = offset
-		t.hasOffset = true
+	// An answer is never older than its request, which also bounds the time after the store's clock was reset.
+	at := min(requested, now)
+
+	if t.hasOffset {
+		t.offset = min(t.offset, now-store)
+		at = min(max(store+t.offset, requested), now)
+	} else {
+		// The first answer does not tell how late it was read.
+		t.offset, t.hasOffset = now-store, true
 	}
 
 	t.failing = false
 
-	// An answer is never older than its request, which also bounds the time after the store's clock was reset.
-	at := min(max(store+t.offset, requested), now)
-
 	if !t.hasConfirmed || at > t.confirmed {
 		t.confirmed = at
 		t.hasConfirmed = true
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -10,7 +10,6 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
-	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 )
 
@@ -82,7 +81,7 @@
 			w.Progress.Await(ctx)
 		}
 
-		requested := freshness.Clock()
+		requested := w.Progress.Freshness.Clock()
 		batch, err := w.call(ctx, full)
 
 		switch {
