Start the entries of the test of calls once all of them exist

TestCallsDoNotGrowWithEntries failed under the race detector: it added entries to a slice that the first ones were reading already, and read the number of calls without the lock. The entries now start after the slice is complete. Nothing that the tests assert has changed; all tests of the package pass with the race detector.

--- a/internal/forward/progress/progress_test.go
+++ b/internal/forward/progress/progress_test.go
@@ -60,7 +60,9 @@
 			},
 			OnPublish: func() { s.publish(i) },
 		})
+	}
 
+	for i := range entries {
 		group.Go(func() { s.watch(ctx, i) })
 		group.Go(func() { s.relay(ctx, i) })
 	}
@@ -166,8 +168,9 @@
 			run(t, entries, 2, func(s *system) {
 				time.Sleep(5 * time.Second)
 
-				before := s.calls
+				before := 0
 
+				s.set(func(s *system) { before = s.calls })
 				time.Sleep(20 * time.Second)
 				s.set(func(s *system) {
 					assert.Assert(t, s.calls-before <= 2*20*2, "%d calls in 20 s", s.calls-before)
