Read what follows a request before its connection is closed

A client that had sent more than its request lost the end of a long response if the entry closed the connection after it, as it does after each response once it drains: a line end after the body, which some clients add, the next request, or the rest of a body that was refused early.

Cause: a close with unread bytes makes the kernel reset the connection and drop what it has not sent yet. net/http waits half a second, and reads nothing, only if it has given up a body.

Evidence: TestResponseIsWholeWhenBytesFollowTheRequest sends a response of 1 MB to a client that reads late. Without such bytes the response is whole.

Ruled out: the exit of the process as such. The kernel goes on sending after a close without unread bytes.

Change: after a response the writing side is closed, and bytes are read and dropped until the client closes the connection, for a second at most. Drain waits for that. A connection that is closed while it waits for a request is closed at once.

--- a/internal/wire/graceful/conn.go
+++ b/internal/wire/graceful/conn.go
@@ -1,6 +1,7 @@
 package graceful
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +14,13 @@
 // lastReadTimeout bounds the last read of an idle connection that is to be closed. It is long enough to read what has arrived.
 const lastReadTimeout = 10 * time.Millisecond
 
+// lingerTimeout bounds the time for which bytes are read and dropped after a response, until the client has closed the connection. A close
+// with unread bytes makes the kernel drop what it has not sent yet.
+const lingerTimeout = time.Second
+
+// errNoCloseWrite is returned by CloseWrite if the connection has no writing side of its own.
+var errNoCloseWrite = errors.New("the connection has no writing side of its own")
+
 // errNoLinger is returned by SetLinger if the connection has no such option.
 var errNoLinger = errors.New("the connection has no linger time")
 
@@ -29,6 +37,8 @@
 	received bool
 	// ahead is true if a byte has been read after the end of the request that is being served.
 	ahead bool
+	// responded is true from the start of a request until the server waits for the next one.
+	responded bool
 	// closing is true once the connection is to be closed as soon as it has no request.
 	closing bool
 	// deadline is the read deadline that the server has set. It is not in force while limited is true.
@@ -94,7 +104,7 @@
 	// Errors show at the next read.
 	switch state {
 	case http.StateActive:
-		c.active, c.received = true, true
+		c.active, c.received, c.responded = true, true, true
 
 		if c.limited {
 			c.limited = false
@@ -106,10 +116,24 @@
 	case http.StateHijacked:
 		c.hijacked = true
 	case http.StateClosed:
+		if c.responded && c.CloseWrite() == nil {
+			go c.linger()
+			return
+		}
+
 		_ = c.end()
 	}
 }
 
+// linger closes the connection for good once the client has closed it, or after lingerTimeout.
+func (c *conn) linger() {
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+
+	_ = c.end()
+}
+
 // hasRequest reports whether a request is being read or served.
 func (c *conn) hasRequest() bool {
 	c.mu.Lock()
@@ -128,6 +152,8 @@
 
 // Read implements net.Conn. The error is that of the connection, since net/http looks at its type.
 func (c *conn) Read(buffer []byte) (int, error) {
+	c.noteRead()
+
 	n, err := c.Conn.Read(buffer)
 
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.prepareLastRead() {
@@ -141,6 +167,14 @@
 	return n, err //nolint:wrapcheck // see above
 }
 
+// noteRead notes that the server waits for a request if it has none.
+func (c *conn) noteRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.responded = c.responded && c.active
+}
+
 // prepareLastRead reports whether the connection is to be closed without a request. A request that has arrived, but is not read yet, can be
 // read then.
 func (c *conn) prepareLastRead() bool {
@@ -199,7 +233,7 @@
 		return errors.Wrap(writer.CloseWrite(), "close the writing side")
 	}
 
-	return nil
+	return errNoCloseWrite
 }
 
 // SetLinger sets the linger time in seconds; 0 makes a close reset the connection.
