Refuse what waits at the product's agent when its drain times out

An entry, and so its caller, got no outcome for a request that waited at the agent of the product until the drain timeout of the agent passed: it had not run, but counted as one that may have.

Cause: an agent that drains runs what it has queued, as long as the timeout lets it. What still waited then was broken off with what ran. Class: a promise given on a guess (that the queue empties in time).

Evidence: TestRequestsThatWaitAtTheEndOfADrainAreRefused, with two requests running and two waiting, fails on the code before: all four end with "context canceled".

What has not started is refused 0.1 s before the timeout, the time that the agent allows for refusals before a deadline, so that the entry may send it elsewhere.

--- a/internal/agent/server/check_test.go
+++ b/internal/agent/server/check_test.go
@@ -220,6 +220,34 @@
 	})
 }
 
+// Guards against requests that still wait when the drain timeout passes, and whose outcome is then unknown although they have not run (P13).
+func TestRequestsThatWaitAtTheEndOfADrainAreRefused(t *testing.T) {
+	withAgent(t, false, func(f *fixture) {
+		t := f.t
+
+		// The drain timeout is a minute. Two requests may run at the same time.
+		f.engine.locked(func() { f.engine.eventTime = 10 * time.Minute })
+
+		results := make([]<-chan result, 0, 4)
+
+		for i := range 4 {
+			request := f.generate(fmt.Sprint("r", i), "x")
+			request.RemainingMs = (20 * time.Minute).Milliseconds()
+			results = append(results, f.start(request))
+		}
+
+		time.Sleep(2 * time.Second)
+		f.stop()
+
+		kinds := map[string]int{}
+		for _, r := range results {
+			kinds[(<-r).kind()]++
+		}
+
+		assert.Equal(t, kinds["refused draining"], 2, "%v", kinds)
+	})
+}
+
 // Guards against an idle agent that ends while an entry that does not know of its drain sends a request, whose outcome is then unknown.
 func TestIdleDrainRefusesLateRequests(t *testing.T) {
 	withAgent(t, true, func(f *fixture) {
--- a/internal/agent/server/scheduler.go
+++ b/internal/agent/server/scheduler.go
@@ -119,6 +119,19 @@
 	limitGauge.Update(int64(s.ramp.Limit()))
 }
 
+// refuseWaiting refuses all jobs that wait.
+func (s *scheduler) refuseWaiting(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for item, j := range s.jobs {
+		s.queue.Remove(item)
+		s.refuse(j, err)
+	}
+
+	s.updateGauges()
+}
+
 // refuse sends a refusal to a waiting job that was removed from the queue.
 func (s *scheduler) refuse(j *job, err error) {
 	delete(s.jobs, &j.item)
--- a/internal/agent/server/server.go
+++ b/internal/agent/server/server.go
@@ -19,6 +19,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/document"
 	"github.com/chestnutbeam/chestnutbeam/internal/config/settings"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/probe"
 	"github.com/chestnutbeam/chestnutbeam/internal/platform/table"
@@ -213,7 +214,13 @@
 			lastWork = time.Now()
 		}
 
-		if timeout := s.Settings.Drain; timeout > 0 && time.Since(drainStart) >= timeout {
+		timeout := s.Settings.Drain
+		if timeout > 0 && time.Since(drainStart) >= timeout-refusalLead {
+			// What has not started is refused while there is time to say so.
+			s.scheduler.refuseWaiting(fault.New(fault.Draining, "the agent is shutting down"))
+		}
+
+		if timeout > 0 && time.Since(drainStart) >= timeout {
 			log.WithField("left", s.scheduler.jobCount()).Warn("drain timeout exceeded")
 			return
 		}
