Reset what the end of an entry cuts off

Evidence: TestAbortedResponseIsReset fails for HTTP/1.0 without the reset ("the response looks complete"). HTTP/1.1 sees the break in any case.

Listener.Abort resets connections with a request that is not answered. A whole response that is still being sent is not reset: TestWholeResponseIsNotAborted fails if a closed connection counts as one with a request ("connection reset by peer").

--- a/internal/wire/graceful/conn.go
+++ b/internal/wire/graceful/conn.go
@@ -116,6 +116,8 @@
 	case http.StateHijacked:
 		c.hijacked = true
 	case http.StateClosed:
+		c.active = false
+
 		if c.responded && c.CloseWrite() == nil {
 			go c.linger()
 			return
@@ -125,6 +127,19 @@
 	}
 }
 
+// abort closes the connection at once. A response under way ends with a reset.
+func (c *conn) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.active {
+		// The connection is closed even if the option cannot be set.
+		_ = c.SetLinger(0)
+	}
+
+	_ = c.end()
+}
+
 // linger closes the connection for good once the client has closed it, or after lingerTimeout.
 func (c *conn) linger() {
 	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -82,10 +82,10 @@
 	l.wait(ctx, (*conn).isClosing)
 }
 
-// Abort closes all connections at once, also those with a request.
+// Abort closes all connections at once. Those with a request are reset, since a close in good order is the end of a body without a length.
 func (l *Listener) Abort() {
 	for _, c := range l.open() {
-		_ = c.end()
+		c.abort()
 	}
 }
 
