Give up a silent server only for one that can take over

What callers saw: a stream whose server paused for more than 1.5 s ended without its rest, or as a 502 before its first event, although the server went on a moment later. It happened wherever no other server could continue the stream: one server, one server of the version that began the stream, the others leaving or without an agent, no retry left. An idempotent request to the only server of a plain service ended with a 502 after four objectives, and any request through an agent that stood still for 1.2 s failed, also one that may not be repeated.

Cause: the read timeout was part of the delivery and was enforced by the agent or by the client of plain services, and the timeout of the agent by the entry's stream to it. All three end the send for good, and only then the entry looked for another server: a promise that another server goes on, given on a guess.

Ruled out: the deadline (4 s, not reached), the client (it waits), quarantine (empty), and the retry budget (waited for).

Change: the entry watches each send that may be repeated. Once the server or the agent is silent for as long as before, it looks for a server that can take over: a further attempt, the quarantine, the retry budget, the version, drain, limits and the expected wait, as for any send. Only if there is one, and the response has not gone on meanwhile, it takes the retry, ends the old send and uses that server. Otherwise it looks again every 250 ms until the deadline. A look that comes late because the process stood still is put off, so that what has arrived is read first. A log line and a counter tell each server given up, and each one kept.

The entry sends no read timeout to agents any more; 0 always meant "no limit", so that agents with earlier software obey, and agents still obey the timeout of entries with earlier software.

--- a/internal/forward/entry/budget.go
+++ b/internal/forward/entry/budget.go
@@ -54,6 +54,11 @@
 	return e.retryBudget.takeRetry(now, service, e.Bounds, e.extraRetries(now))
 }
 
+// mayRetry reports whether takeRetry would, and counts nothing.
+func (e *Entry) mayRetry(now time.Time, service string) bool {
+	return e.retryBudget.mayRetry(now, service, e.Bounds, e.extraRetries(now))
+}
+
 // extraRetries returns the part of the extra retries that this entry may use; 0 if it does not know among how many they are shared. An
 // earlier process of its VM may have used its part just before the start.
 func (e *Entry) extraRetries(now time.Time) float64 {
@@ -79,11 +84,7 @@
 	defer b.mu.Unlock()
 
 	found := b.window(service)
-	found.requests = dropBefore(found.requests, now.Add(-bounds.RetryWindow))
-	found.retries = dropBefore(found.retries, now.Add(-bounds.RetryWindow))
-
-	allowed := bounds.RetryRatio*float64(len(found.requests)) + extra
-	if float64(len(found.retries)+1) > allowed*entryBudgetShare {
+	if !found.allows(now, bounds, extra) {
 		return false
 	}
 
@@ -92,6 +93,24 @@
 	return true
 }
 
+// mayRetry is takeRetry without counting the retry.
+func (b *retryBudget) mayRetry(now time.Time, service string, bounds Bounds, extra float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.window(service).allows(now, bounds, extra)
+}
+
+// allows reports whether one more retry is allowed.
+func (w *retryWindow) allows(now time.Time, bounds Bounds, extra float64) bool {
+	w.requests = dropBefore(w.requests, now.Add(-bounds.RetryWindow))
+	w.retries = dropBefore(w.retries, now.Add(-bounds.RetryWindow))
+
+	allowed := bounds.RetryRatio*float64(len(w.requests)) + extra
+
+	return float64(len(w.retries)+1) <= allowed*entryBudgetShare
+}
+
 // dropBefore removes the times before since; the result reuses the array of times.
 func dropBefore(times []time.Time, since time.Time) []time.Time {
 	at := 0
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -59,6 +59,8 @@
 	excluded map[string]bool
 	// status is the status of the response to the client; 0 before it has started.
 	status int
+	// successor is the server for which a silent one was given up, with a retry taken from the budget; nil for none.
+	successor *fleet.Server
 	// expectedWait is the wait that was predicted for the server chosen last, and timeToFirst the time from the arrival of
 	// the request to the first piece of the response body; 0 before it.
 	expectedWait time.Duration
@@ -154,7 +156,6 @@
 		Deadline:    j.deadline,
 		Objective:   j.route.Objective,
 		MaxWait:     j.maxWait(),
-		ReadTimeout: j.readTimeout(),
 		Urgency:     j.urgency,
 		SharedParts: j.sharedParts,
 
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -54,7 +54,7 @@
 	e.takeUp(ctx, j)
 
 	for {
-		server, err := e.choose(ctx, j)
+		server, err := e.next(ctx, j)
 		if err == nil {
 			err = e.checkDrainBeforeSend(j)
 		}
@@ -134,7 +134,7 @@
 		e.Quarantine.reportCrash(*j.crash)
 	}
 
-	again := wanted && j.retryable() && e.Quarantine.mayRepeat(j) && e.takeRetry(time.Now(), j.service.Name)
+	again := wanted && j.retryable() && e.Quarantine.mayRepeat(j) && (j.successor != nil || e.takeRetry(time.Now(), j.service.Name))
 
 	metric.Count(e.Metrics, "try.failed."+string(failed.Err.Kind))
 	e.Log.WithFields(logrus.Fields{
@@ -198,13 +198,16 @@
 	response := newResponse(e, j, server)
 	defer response.kept.Release()
 
+	watched, watch := e.watchSilence(ctx, server, response)
+
 	var last message.Event
 	if j.service.Engine != nil {
-		last = e.relay(ctx, j, server, response.handle)
+		last = e.relay(watched, j, server, watch.emit)
 	} else {
-		last = e.direct(ctx, j, server, response.handle)
+		last = e.direct(watched, j, server, watch.emit)
 	}
 
+	watch.stop()
 	checkRefused(j, response.status, last)
 
 	j.broken = response.status == http.StatusOK
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -21,8 +21,8 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// agentTimeout is how long an agent may send nothing on the stream of a request before the request counts as failed. Agents
-// send a heartbeat every 400 ms.
+// agentTimeout is how long an agent may send nothing on the stream of a request before another server takes the request
+// over, if one can. Agents send a heartbeat every 400 ms.
 const agentTimeout = 1200 * time.Millisecond
 
 // endProbeTimeout limits the search for the end of a server; it is short because a retry waits for it.
@@ -85,14 +85,8 @@
 	return e.PlainClient.IsClosed(bounded, server.Address)
 }
 
-// relay sends the request to a model server through the agent on its VM and returns the outcome.
-func (e *Entry) relay(parent context.Context, j *job, server fleet.Server, emit upstream.Emit) message.Event {
-	ctx, cancel := context.WithCancelCause(parent)
-	defer cancel(nil)
-
-	timer := time.AfterFunc(agentTimeout, func() { cancel(errors.New("agent sent nothing within the timeout")) })
-	defer timer.Stop()
-
+// relay sends the request to a model server through the agent on its VM and returns the outcome. Heartbeats of the agent go to emit as nil.
+func (e *Entry) relay(ctx context.Context, j *job, server fleet.Server, emit upstream.Emit) message.Event {
 	version := e.minVersions.get(link.Adapter{Model: j.request.Model, Name: j.request.Adapter})
 	request := convert.DeliveryToWire(time.Now(), j.delivery(server, version))
 
@@ -111,14 +105,10 @@
 			return brokenStreamOutcome(ctx, err)
 		}
 
-		timer.Reset(agentTimeout)
-
 		event := convert.EventFromWire(wire)
 		switch event.(type) {
 		case message.Completed, message.Refused, message.Failed:
 			return event
-		case nil:
-			continue
 		}
 
 		if err := emit(event); err != nil {
--- /dev/null
+++ b/internal/forward/entry/silence.go
@@ -0,0 +1,281 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+)
+
+const (
+	// takeoverPeriod is the time between two looks for a server that can take over from a silent one.
+	takeoverPeriod = 250 * time.Millisecond
+	// stallMargin is the delay of a timer above which this process has stood still, and may not have read what it has received.
+	stallMargin = 200 * time.Millisecond
+)
+
+var (
+	errAgentSilent  = errors.New("agent sent nothing within the timeout")
+	errServerSilent = errors.New("backend server sent nothing within the timeout")
+)
+
+// silenceWatch gives up the server of a request that sends nothing, or whose agent does, once another server can take the request over, and
+// not before: the server may go on.
+type silenceWatch struct {
+	entry    *Entry
+	server   fleet.Server
+	response *response
+	// readTimeout is how long the server may send nothing once it has the request; 0 if the request may not run once more.
+	readTimeout time.Duration
+	ctx         context.Context //nolint:containedctx // the timer has no context of its own
+	giveUp      context.CancelCauseFunc
+
+	// mu also guards the job of the response until stop.
+	mu sync.Mutex
+	// heardAt is when the agent last sent anything. progressAt is when the server was sent the request, or the response last made progress; it
+	// is zero before.
+	heardAt, progressAt time.Time
+	body                framing.Body
+	timer               *time.Timer
+	// dueAt is when the timer is to fire.
+	dueAt time.Time
+	// stopped is true once the server is given up or the response has ended, and reported once a log line tells that no server can take over.
+	stopped, reported bool
+}
+
+// watchSilence starts to watch the send of a request. The context that it returns ends when the server is given up.
+func (e *Entry) watchSilence(parent context.Context, server fleet.Server, r *response) (context.Context, *silenceWatch) {
+	ctx, cancel := context.WithCancelCause(parent)
+	w := &silenceWatch{
+		entry: e, server: server, response: r, readTimeout: r.job.readTimeout(), ctx: ctx, giveUp: cancel, heardAt: time.Now(),
+	}
+
+	if w.readTimeout > 0 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		wait, _ := w.untilSilent(w.heardAt)
+		w.dueAt = w.heardAt.Add(wait)
+		w.timer = time.AfterFunc(wait, w.look)
+	}
+
+	return ctx, w
+}
+
+// stop ends the watch. The job is not used by it any more.
+func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.stopped = true
+
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+
+	w.giveUp(nil)
+}
+
+// emit observes an event of the response and passes it on; nil is a heartbeat of the agent.
+func (w *silenceWatch) emit(event message.Event) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.observe(time.Now(), event)
+
+	return w.response.handle(event)
+}
+
+// observe records what an event tells about the silence. In a stream of events, only whole events are progress.
+func (w *silenceWatch) observe(now time.Time, event message.Event) {
+	w.heardAt = now
+
+	switch e := event.(type) {
+	case message.RequestSent:
+		w.progressAt = now
+	case message.ResponseStarted:
+		w.progressAt = now
+		w.body = framing.Body{EventStream: e.Head.IsEventStream(), EventsDue: w.response.job.route.Stream && e.Head.Status == http.StatusOK}
+	case message.Data:
+		// The receiver of the response rejects an event that is too long.
+		if progressed, _ := w.body.Scan(e.Bytes); progressed {
+			w.progressAt = now
+		}
+	}
+}
+
+// untilSilent returns the time until the agent or the server has sent nothing for too long, and the error for the one that is first.
+func (w *silenceWatch) untilSilent(now time.Time) (time.Duration, error) {
+	left, err := w.readTimeout, errServerSilent
+
+	if !w.progressAt.IsZero() {
+		left -= now.Sub(w.progressAt)
+	}
+
+	if w.response.job.service.Engine == nil {
+		return left, err
+	}
+
+	if agentLeft := agentTimeout - now.Sub(w.heardAt); agentLeft < left || w.progressAt.IsZero() {
+		return agentLeft, errAgentSilent
+	}
+
+	return left, err
+}
+
+// look gives up the server if it is silent and another one can take over, and is due again otherwise.
+func (w *silenceWatch) look() {
+	next, wait, silent := w.examine(time.Now())
+
+	if next != nil && w.takeOver(next, silent) {
+		return
+	}
+
+	w.arm(wait)
+}
+
+// examine returns the request as it would be sent once more, the time until the next look, and who is silent; nil if nobody is.
+func (w *silenceWatch) examine(now time.Time) (next *job, wait time.Duration, silent error) {
+	// An event that is being passed on to a slow client is no silence.
+	if !w.mu.TryLock() {
+		return nil, takeoverPeriod, nil
+	}
+
+	defer w.mu.Unlock()
+
+	if w.stopped {
+		return nil, takeoverPeriod, nil
+	}
+
+	if now.Sub(w.dueAt) > stallMargin {
+		return nil, stallMargin, nil
+	}
+
+	left, silent := w.untilSilent(now)
+	if left > 0 {
+		return nil, left, nil
+	}
+
+	return w.response.afterGivingUp(w.server), takeoverPeriod, silent
+}
+
+// arm has the watch look again after the given time.
+func (w *silenceWatch) arm(wait time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.stopped {
+		return
+	}
+
+	w.dueAt = time.Now().Add(wait)
+	w.timer.Reset(wait)
+}
+
+// takeOver gives up the server if another one can take the request over and the retry budget allows it, and reports whether it did. The
+// response may have gone on during the search.
+func (w *silenceWatch) takeOver(next *job, silent error) bool {
+	successor, refused := w.entry.findSuccessor(w.ctx, next)
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	left, _ := w.untilSilent(time.Now())
+	if w.stopped || left > 0 {
+		return false
+	}
+
+	if refused == nil && !w.entry.takeRetry(time.Now(), next.service.Name) {
+		refused = errNoRetryLeft
+	}
+
+	if refused != nil {
+		w.reportKept(silent, refused)
+		return false
+	}
+
+	j := w.response.job
+	j.successor, j.expectedWait = &successor, next.expectedWait
+	w.stopped = true
+
+	metric.Count(w.entry.Metrics, "silence.given_up")
+	w.logSilence(silent).WithField("successor", successor.ID).Info("silent server given up")
+	w.giveUp(silent)
+
+	return true
+}
+
+// reportKept logs once for each send that no server can take over.
+func (w *silenceWatch) reportKept(silent error, reason *fault.Error) {
+	if w.reported {
+		return
+	}
+
+	w.reported = true
+
+	metric.Count(w.entry.Metrics, "silence.kept")
+	w.logSilence(silent).WithField("reason", reason.Error()).Info("silent server kept, no other can take over")
+}
+
+func (w *silenceWatch) logSilence(silent error) *logrus.Entry {
+	return w.entry.Log.WithError(silent).WithFields(logrus.Fields{
+		fieldRequest: w.response.job.request.ID, "server": w.server.ID, "begun": w.response.begun, "last": w.response.job.splitter.LastID,
+		"version": w.server.Version, "age": time.Since(w.response.job.request.Arrived).Milliseconds(),
+	})
+}
+
+// afterGivingUp returns a copy of the job as it is once the server is given up.
+func (r *response) afterGivingUp(server fleet.Server) *job {
+	next := *r.job
+	next.runs++
+	next.broken = r.status == http.StatusOK
+	next.excluded = maps.Clone(next.excluded)
+	next.excluded[server.ID] = true
+
+	return &next
+}
+
+var (
+	errNoAttemptLeft = fault.New(fault.OutcomeUnknown, "the route allows no further run")
+	errNoRepeat      = fault.New(fault.OutcomeUnknown, "the quarantine allows no further run")
+	errNoRetryLeft   = fault.New(fault.OutcomeUnknown, "the retry budget allows no further run")
+)
+
+// findSuccessor returns the server that can run the request after the one that is given up, or why there is none. It takes nothing from the
+// retry budget.
+func (e *Entry) findSuccessor(ctx context.Context, next *job) (fleet.Server, *fault.Error) {
+	switch {
+	case !next.retryable():
+		return fleet.Server{}, errNoAttemptLeft
+	case !e.Quarantine.mayRepeat(next):
+		return fleet.Server{}, errNoRepeat
+	case !e.mayRetry(time.Now(), next.service.Name):
+		return fleet.Server{}, errNoRetryLeft
+	}
+
+	return e.choose(ctx, next)
+}
+
+// next returns the server to which the request is sent next: the one for which a silent one was given up, if it is still usable.
+func (e *Entry) next(ctx context.Context, j *job) (fleet.Server, *fault.Error) {
+	successor := j.successor
+	j.successor = nil
+
+	if successor != nil {
+		if listed, ok := e.Fleet.Get(successor.ID); ok && listed == *successor && !j.excluded[listed.ID] {
+			return listed, nil
+		}
+	}
+
+	return e.choose(ctx, j)
+}
--- /dev/null
+++ b/internal/forward/entry/silence_test.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
+)
+
+// silentServer is the server of the requests of these tests.
+var silentServer = fleet.Server{ID: "a", Service: "s", Version: "v1"}
+
+// plainEntry returns an entry with silentServer and other servers of a plain service, and a request under way that was sent to silentServer.
+func plainEntry(policy catalog.RetryPolicy, others ...fleet.Server) (*Entry, *response) {
+	e := testEntry(nil)
+	e.Fleet.Put(silentServer)
+	e.Fleet.Put(others...)
+
+	j := testJob(policy)
+	j.service.Engine = nil
+	j.sink = &bodySink{}
+
+	return e, &response{entry: e, job: j, server: silentServer}
+}
+
+// Guards against a server that is given up for its silence although no other one can take the request over (LOST).
+func TestServerThatCanTakeOver(t *testing.T) {
+	begin := func(_ *Entry, j *job) {
+		j.responseStarted, j.eventStream, j.bound = true, true, true
+		j.begin = origin.Begin{Server: "a", Version: "v1", Known: true}
+	}
+
+	cases := map[string]struct {
+		policy  catalog.RetryPolicy
+		others  []fleet.Server
+		prepare func(e *Entry, j *job)
+		want    bool
+	}{
+		"another server":            {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "s"}}, want: true},
+		"no other":                  {policy: catalog.Idempotent},
+		"of another service":        {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "other"}}},
+		"the other one leaves":      {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "s", Draining: true}}},
+		"the other one had failed":  {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "s"}}, prepare: func(_ *Entry, j *job) { j.excluded["b"] = true }},
+		"no further attempt":        {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "s"}}, prepare: func(_ *Entry, j *job) { j.runs = 1 }},
+		"no retry left":             {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "s"}}, prepare: func(e *Entry, _ *job) { e.Bounds.RetryExtra = 0 }},
+		"trial of the quarantine":   {policy: catalog.Idempotent, others: []fleet.Server{{ID: "b", Service: "s"}}, prepare: func(_ *Entry, j *job) { j.tried = "part" }},
+		"may run once":              {policy: catalog.AtMostOnce, others: []fleet.Server{{ID: "b", Service: "s"}}},
+		"stream of the version":     {policy: catalog.Resumable, others: []fleet.Server{{ID: "b", Service: "s", Version: "v1"}}, prepare: begin, want: true},
+		"stream of another version": {policy: catalog.Resumable, others: []fleet.Server{{ID: "b", Service: "s", Version: "v2"}}, prepare: begin},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e, r := plainEntry(c.policy, c.others...)
+
+			if c.prepare != nil {
+				c.prepare(e, r.job)
+			}
+
+			successor, err := e.findSuccessor(t.Context(), r.afterGivingUp(silentServer))
+			assert.Equal(t, err == nil, c.want, "%v", err)
+			assert.Equal(t, successor.ID == "b", c.want)
+			assert.Assert(t, !r.job.excluded["a"], "the server is not given up yet")
+			assert.Equal(t, len(e.retryBudget.window("s").retries), 0)
+		})
+	}
+}
+
+// Guards against a silent server that is given up before another one can take over, or is kept when one can, and against bytes without a whole
+// event that count as progress.
+func TestSilentServerIsGivenUpOnceAnotherCanTakeOver(t *testing.T) {
+	event := message.Data{Bytes: []byte("id: 0\ndata: a\n\n")}
+	part := message.Data{Bytes: []byte("id")}
+
+	cases := map[string]struct {
+		// joinsAfter is when another server joins; 0 for never. pieces arrive each second, after the head.
+		joinsAfter time.Duration
+		pieces     []message.Data
+		want       time.Duration
+	}{
+		"no other server":                {},
+		"another server":                 {joinsAfter: time.Millisecond, want: 1500 * time.Millisecond},
+		"another server joins":           {joinsAfter: 4 * time.Second, want: 4 * time.Second},
+		"events":                         {joinsAfter: time.Millisecond, pieces: []message.Data{event, event, event}, want: 4500 * time.Millisecond},
+		"bytes, no whole event":          {joinsAfter: time.Millisecond, pieces: []message.Data{part, part, part}, want: 1500 * time.Millisecond},
+		"events before the server joins": {joinsAfter: 2500 * time.Millisecond, pieces: []message.Data{event}, want: 2500 * time.Millisecond},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, r := plainEntry(catalog.Resumable)
+				begunAt := time.Now()
+				ctx, watch := e.watchSilence(t.Context(), silentServer, r)
+
+				if c.joinsAfter > 0 {
+					time.AfterFunc(c.joinsAfter, func() { e.Fleet.Put(fleet.Server{ID: "b", Service: "s", Version: "v1"}) })
+				}
+
+				assert.NilError(t, watch.emit(message.RequestSent{}))
+				assert.NilError(t, watch.emit(head(200, "text/event-stream")))
+
+				for _, piece := range c.pieces {
+					time.Sleep(time.Second)
+					assert.NilError(t, watch.emit(piece))
+				}
+
+				select {
+				case <-ctx.Done():
+				case <-time.After(20 * time.Second):
+				}
+
+				gaveUpAfter := time.Since(begunAt)
+				watch.stop()
+
+				if c.want == 0 {
+					assert.Assert(t, !errors.Is(context.Cause(ctx), errServerSilent))
+					assert.Assert(t, r.job.successor == nil)
+
+					return
+				}
+
+				assert.ErrorIs(t, context.Cause(ctx), errServerSilent)
+				assert.Equal(t, r.job.successor.ID, "b")
+				assert.Assert(t, gaveUpAfter >= c.want && gaveUpAfter <= max(c.want, time.Duration(len(c.pieces))*time.Second)+takeoverPeriod, "after %s", gaveUpAfter)
+				assert.Equal(t, len(e.retryBudget.window("s").retries), 1)
+			})
+		})
+	}
+}
+
+// pausingAgent sends nothing for a while, as an agent that stands still, and then the response of its server.
+type pausingAgent struct {
+	relay.DRPCRelayUnimplementedServer
+	pause time.Duration
+}
+
+func (a *pausingAgent) Exchange(_ *relay.Request, stream relay.DRPCRelay_ExchangeStream) error {
+	time.Sleep(a.pause)
+
+	for _, event := range []message.Event{message.RequestSent{}, head(200, "text/event-stream"), message.Data{Bytes: []byte("id: 0\ndata: a\n\n")}, message.Completed{}} {
+		if err := stream.Send(convert.EventToWire(event)); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// Guards against a response that is ended because its agent stood still for a moment, although no other server can run the request (LOST).
+func TestAgentThatStandsStillIsKeptWhileNoOtherCanTakeOver(t *testing.T) {
+	for name, policy := range map[string]catalog.RetryPolicy{"resumable": catalog.Resumable, "at most once": catalog.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+
+			go func() {
+				_ = conn.Serve(t.Context(), listener, func(mux *drpcmux.Mux) error {
+					return relay.DRPCRegisterRelay(mux, &pausingAgent{pause: 2 * time.Second})
+				})
+			}()
+
+			e := testEntry(func(ctx context.Context, _ string) (net.Conn, error) {
+				var dialer net.Dialer
+				return dialer.DialContext(ctx, "tcp", listener.Addr().String())
+			})
+			e.Fleet.Put(silentServer)
+
+			j := testJob(policy)
+			j.sink = &bodySink{}
+
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+
+			outcome := e.send(ctx, j, silentServer)
+			_, completed := outcome.(message.Completed)
+			assert.Assert(t, completed, "%#v", outcome)
+		})
+	}
+}
--- a/internal/forward/entry/timeouts.go
+++ b/internal/forward/entry/timeouts.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// streamReadTimeout is how long a model server may send nothing before a resumable stream continues at another server.
+	// streamReadTimeout is how long a model server may send nothing before a resumable stream continues at another server, if one can
+	// take it over.
 	streamReadTimeout = 1500 * time.Millisecond
 	// plainReadTimeoutFactor times the objective is how long a server of a plain service may send nothing before an
-	// idempotent request is retried at another server.
+	// idempotent request is retried at another server, if one can run it.
 	plainReadTimeoutFactor = 4
 )
 
@@ -26,15 +27,15 @@
 	sinceLastEvent := time.Since(j.request.Arrived)
 
 	if j.responseStarted {
-		// The failed server may have sent nothing for up to this time.
+		// The failed server may have sent nothing for this time or longer.
 		sinceLastEvent = streamReadTimeout
 	}
 
 	return refuse.MaxStreamWait(j.route.Objective, j.route.GapTarget, sinceLastEvent, j.remaining())
 }
 
-// readTimeout returns how long a server may send nothing before the request is retried at another server; 0 if it may not be
-// retried.
+// readTimeout returns how long a server may send nothing before the request is retried at another server, if one can run it; 0 if the request
+// may not be retried.
 func (j *job) readTimeout() time.Duration {
 	if j.runs+1 >= j.route.MaxAttempts {
 		return 0
