Continue a broken stream at its own server if no other one can

What callers saw: a stream that its server broke off, by a reset of its connection, ended at once if that server was the only one of its version, although the server still ran and streams of the kind may be resumed.

Cause: a server that failed a request is excluded for it, whatever the failure was, and the rule that a stream goes on only at its version often leaves no other one. A server that refused a stream for which the silent one had been given up left none either.

Evidence: TestStreamGoesOnAtTheOnlyServerOfItsVersion, "same process", fails before the change ("false (got.complete) != true", one run).

Ruled out: attempts (2 allowed, 1 used), the retry budget (a retry was taken, and then there was no server for it).

Change: if no other server can go on, the one that broke off is chosen again: a stream that has begun, may be resumed and is broken off at a process of which the list and the agent name the same start, within the attempts and the retry budget as before.

The cases "the process starts again" and "the stream can't be resumed" have one run before and after.

--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -64,7 +64,7 @@
 			Fetches:          state.Fetches,
 			IdleAdapterSlots: idleAdapterSlots(&state, name),
 			StartDelay:       state.StartDelay + time.Duration(state.Sent)*state.StartSpacing,
-			Suspect:          e.health.suspect(now, server.ID),
+			Suspect:          server.ID != j.returnsTo && e.health.suspect(now, server.ID),
 		})
 	}
 
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -61,6 +61,10 @@
 	status int
 	// successor is the server for which a silent one was given up, with a retry taken from the budget; nil for none.
 	successor *fleet.Server
+	// brokenAt is the server that broke off the stream last and may go on with it if no other can; nil for none. returnsTo is its id once it may
+	// be chosen again although it has failed.
+	brokenAt  *fleet.Server
+	returnsTo string
 	// expectedWait is the wait that was predicted for the server chosen last, and timeToFirst the time from the arrival of
 	// the request to the first piece of the response body; 0 before it.
 	expectedWait time.Duration
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -55,6 +55,10 @@
 
 	for {
 		server, err := e.next(ctx, j)
+		if err != nil {
+			server, err = e.chooseSame(ctx, j, err)
+		}
+
 		if err == nil {
 			err = e.checkDrainBeforeSend(j)
 		}
@@ -217,7 +221,12 @@
 		e.Quarantine.recordRun(j, response.begun, e.ends.any())
 	}
 
-	return response.outcome(last)
+	outcome := response.outcome(last)
+	if failed, ok := outcome.(message.Failed); ok {
+		j.recordBreak(server, response.startedAt, failed)
+	}
+
+	return outcome
 }
 
 // response forwards the events of the response of one server to the client.
