Let a server respond that does not read the body of its request

What callers saw: a request with a body that its server reads late, or not at all, lost its response after 2 s, although the server went on with it.

Cause: the acknowledgment timeout of connections to servers (TCP_USER_TIMEOUT, 2 s) also counts the time in which the peer is reached and has no room for more. It is meant for a VM that is gone.

Change: for a request whose body is written while the response is read (above 16 KB), the timeout is the time until the deadline of the request. It is 2 s again before the connection is kept or closed, so that nothing is sent for long after a request has been given up. A server that is gone under such a body is noticed by the watch of the entry where another server can take over, and at the deadline otherwise.

Ruled out as a remedy: a longer timeout on all connections, since the kernel would deliver a request to a server that comes back long after the client has left.

--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -153,6 +153,7 @@
 		idle = defaultIdleTimeout
 	}
 
+	used.restoreAckTimeout()
 	used.expires = time.Now().Add(idle - idleMargin)
 
 	if used.reader.Buffered() > 0 || !c.idle.push(address, used) {
--- a/internal/forward/upstream/conn.go
+++ b/internal/forward/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,7 +17,7 @@
 const (
 	// dialTimeout limits the time to open a connection, so that a VM that drops packets is detected soon.
 	dialTimeout = time.Second
-	// ackTimeout closes a connection whose peer acknowledges nothing for this long.
+	// ackTimeout closes a connection whose peer acknowledges nothing for this long, or takes nothing of what is sent.
 	ackTimeout = 2 * time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the server does not state a timeout.
 	defaultIdleTimeout = 5 * time.Second
@@ -42,6 +43,8 @@
 	used bool
 	// carried holds the requests sent here that may be sent once more.
 	carried carriedRequests
+	// patient is true while the peer has until the deadline of a request to take its body.
+	patient atomic.Bool
 }
 
 func newConn(raw net.Conn, budget *memory.Budget) *conn {
@@ -80,21 +83,57 @@
 	return err == nil && errors.Is(peekErr, unix.EAGAIN)
 }
 
+// awaitReader gives the peer the given time to take what is sent, in place of ackTimeout: it may respond for longer than that before it reads a body.
+func (c *conn) awaitReader(limit time.Duration) error {
+	c.patient.Store(true)
+
+	return c.setAckTimeout(limit)
+}
+
+// restoreAckTimeout ends awaitReader. What a closed connection has not sent yet is dropped after ackTimeout, too.
+func (c *conn) restoreAckTimeout() {
+	if c.patient.Swap(false) {
+		_ = c.setAckTimeout(ackTimeout)
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.restoreAckTimeout()
+
+	return c.Conn.Close()
+}
+
+func (c *conn) setAckTimeout(limit time.Duration) error {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "get descriptor")
+	}
+
+	return setAckTimeout(control, limit)
+}
+
 // DialTCP opens a connection that is closed if the peer stops acknowledging data.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setAckTimeout}
+	control := func(_, _ string, raw syscall.RawConn) error { return setAckTimeout(raw, ackTimeout) }
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: control}
 
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 
 	return raw, errors.Wrap(err, "dial")
 }
 
-// setAckTimeout sets TCP_USER_TIMEOUT to ackTimeout.
-func setAckTimeout(_, _ string, raw syscall.RawConn) error {
+// setAckTimeout sets TCP_USER_TIMEOUT.
+func setAckTimeout(raw syscall.RawConn, limit time.Duration) error {
 	var setErr error
 
 	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
 
 	return errors.Wrap(errors.CombineErrors(err, setErr), "set acknowledgment timeout")
@@ -115,7 +154,7 @@
 	if raw, ok := accepted.(syscall.Conn); ok {
 		if control, err := raw.SyscallConn(); err == nil {
 			// An error is ignored: without the option, an unreachable peer is only detected later.
-			_ = setAckTimeout("", "", control)
+			_ = setAckTimeout(control, ackTimeout)
 		}
 	}
 
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -111,6 +111,10 @@
 		return errors.Wrap(err, "write request")
 	}
 
+	if err := x.conn.awaitReader(max(left, ackTimeout)); err != nil {
+		return err
+	}
+
 	x.writeDone = make(chan error, 1)
 
 	go func() {
