Go by no list of servers that is known to be incomplete

What callers would see: a stream that began at a server of a new version, through another entry, is taken up at an entry out of step and goes on at a server of the earlier version (ORDER binds machines out of touch as well).

Cause: goes by the age of the list's last confirmation alone, and a list counts as recent for its highest age and a second. Within that time the entry may know that the list is not current: agents have told it of a change that it has not read; it has stood still, and servers that joined meanwhile are in messages that it has not read; the store was restored, and the confirmation is from before.

Evidence, on the code before (with the age as it was): TestCurrentAge failed for "known change", "frozen", "just thawed" and "confirmation from before the thaw" ("the list counts as confirmed 1s ago"); TestConfirmationOfAnotherEra failed for both readers of a copy.

Ruled out: confirmations that were queued while the process stood still look no fresher than they are: those of agents count from the reading of the receiver's own clock, and those of the store from its clock.

Change: a list is current if its newest confirmation is from after the last restore and after the process last stood still (for half a second or more), and the entry knows of no change that it has not read. Else agents are asked, as for an old list.

Result: the tests pass.

What remains: an entry that is cut off and knows nothing of it takes its list for current for the highest age of the list and a second.

--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -87,7 +87,7 @@
 	Changed chan struct{}
 	// Origins finds where streams began at other entries.
 	Origins Origins
-	// ListAge returns how long ago the list of servers was confirmed; false if it never was.
+	// ListAge returns how long ago the list of servers was confirmed; false if it is known not to be current.
 	ListAge func() (time.Duration, bool)
 	// MaxListAge is the age of the list above which servers of another version may serve that it lacks.
 	MaxListAge time.Duration
--- a/internal/forward/progress/follower.go
+++ b/internal/forward/progress/follower.go
@@ -26,6 +26,8 @@
 	OwnMaxAge time.Duration
 	// Freshness tracks the age of the confirmations.
 	Freshness *freshness.Tracker
+	// Pulse tells when this process stood still; nil if it never does.
+	Pulse *freshness.Pulse
 	// IsReader reports whether this entry watches the topic for others.
 	IsReader func() bool
 	// OnPublish is called after a read that this entry publishes.
@@ -43,6 +45,9 @@
 	// behindSince is when this entry first heard of a change that it has not read yet; it is set if behind is true.
 	behindSince time.Duration
 	behind      bool
+	// eraSince is when the first read since the last restore of the store was requested; 0 if there was none. What was confirmed before may
+	// lack in the copy.
+	eraSince time.Duration
 	// publishes is true if this entry publishes its reads: as a reader, or since the readers have published nothing for too long.
 	publishes bool
 	// regained is when the store responded again after calls of this or another entry had failed; it is set if failed is true.
@@ -73,6 +78,10 @@
 
 	if read.Newest.Era != f.read.Era {
 		f.Freshness.Reset()
+
+		if f.known {
+			f.eraSince = read.Requested
+		}
 	}
 
 	if read.Changed || !f.known {
@@ -125,6 +134,24 @@
 	}
 }
 
+// CurrentAge returns the time since the newest confirmation that this entry has all changes of the topic; false if it knows of one that it has
+// not read, or if there was no confirmation since the store was restored or since this process stood still. What was queued for the process
+// meanwhile confirms nothing.
+func (f *Follower) CurrentAge() (time.Duration, bool) {
+	age, known := f.Freshness.SharedAge()
+	confirmed := f.Freshness.Clock() - age
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	since := f.eraSince
+	if f.Pulse != nil {
+		since = max(since, f.Pulse.Resumed())
+	}
+
+	return age, known && !f.behind && confirmed >= since
+}
+
 // BehindFor returns for how long this entry has known of a change that it could not read; 0 if there is none.
 func (f *Follower) BehindFor() time.Duration {
 	f.mu.Lock()
--- a/internal/forward/progress/progress_test.go
+++ b/internal/forward/progress/progress_test.go
@@ -323,3 +323,135 @@
 	stale[3].Age = time.Second
 	assert.DeepEqual(t, progress.Readers(stale), []string{"entry-3"})
 }
+
+// Guards against a list of servers that counts as confirmed by an entry which has not noticed yet that the store was restored from a copy, or
+// by a read of the copy itself: the copy may lack servers that were listed when the store confirmed the list last.
+func TestConfirmationOfAnotherEra(t *testing.T) {
+	now := 100 * time.Second
+
+	newFollower := func() *progress.Follower {
+		return &progress.Follower{
+			MaxAge: maxAge, Freshness: &freshness.Tracker{Now: func() time.Duration { return now }},
+			IsReader: func() bool { return true }, OnPublish: func() {}, Pulse: &freshness.Pulse{Now: func() time.Duration { return now }},
+		}
+	}
+
+	read := func(era, version int64, unsettled bool) progress.Read {
+		return progress.Read{Newest: progress.Mark{Era: era, Version: version}, Changed: true, Requested: now, StoreClock: now, Unsettled: unsettled}
+	}
+
+	t.Run("of an entry that has not noticed", func(t *testing.T) {
+		follower := newFollower()
+		follower.Record(read(0, 5, false))
+
+		now += time.Second
+		confirmation := progress.Confirmation{Newest: progress.Mark{Era: 0, Version: 6}, At: now - 10*time.Millisecond}
+		follower.Record(read(1, 5, true))
+		follower.Observe(confirmation)
+
+		age, current := follower.CurrentAge()
+		assert.Assert(t, !current, "the copy counts as confirmed %s ago", age)
+	})
+
+	t.Run("of an entry that has read the copy", func(t *testing.T) {
+		publisher, follower := newFollower(), newFollower()
+		publisher.Record(read(0, 6, false))
+
+		// The reader publishes.
+		ctx, cancel := context.WithCancel(t.Context())
+		publisher.Await(ctx)
+		cancel()
+
+		now += time.Second
+		follower.Record(read(0, 6, false))
+
+		now += time.Second
+		publisher.Record(read(1, 5, true))
+		follower.Record(read(1, 5, true))
+
+		confirmation, ok := publisher.Publication()
+		assert.Assert(t, ok && confirmation.Newest == progress.Mark{Era: 1, Version: 5}, "others are to learn of the restore")
+		follower.Observe(confirmation)
+
+		age, current := follower.CurrentAge()
+		assert.Assert(t, !current, "the copy counts as confirmed %s ago", age)
+
+		// Reads confirm the list again once the store has settled.
+		now += time.Second
+		publisher.Record(read(1, 7, false))
+		follower.Record(read(1, 7, true))
+
+		confirmation, _ = publisher.Publication()
+		follower.Observe(confirmation)
+
+		age, current = follower.CurrentAge()
+		assert.Assert(t, current && age == 0, "age %s", age)
+	})
+}
+
+// Guards against a list of servers that counts as current although the entry knows of a change that it has not read, or has stood still since
+// the list was confirmed, whatever was queued for it meanwhile.
+func TestCurrentAge(t *testing.T) {
+	now := 100 * time.Second
+	read := func(version int64) progress.Read {
+		return progress.Read{Newest: progress.Mark{Version: version}, Changed: true, Requested: now, StoreClock: now}
+	}
+	confirmation := func(version int64, at time.Duration) progress.Confirmation {
+		return progress.Confirmation{Newest: progress.Mark{Version: version}, At: at}
+	}
+
+	cases := map[string]struct {
+		then func(f *progress.Follower, pulse *freshness.Pulse)
+		// age is that after it; negative if the list is not current.
+		age time.Duration
+	}{
+		"nothing":         {func(*progress.Follower, *freshness.Pulse) {}, 0},
+		"a moment later":  {func(*progress.Follower, *freshness.Pulse) { now += 200 * time.Millisecond }, 200 * time.Millisecond},
+		"known change":    {func(f *progress.Follower, _ *freshness.Pulse) { f.Observe(confirmation(6, now)) }, -1},
+		"change was read": {func(f *progress.Follower, _ *freshness.Pulse) { f.Observe(confirmation(6, now)); f.Record(read(6)) }, 0},
+		"frozen":          {func(*progress.Follower, *freshness.Pulse) { now += time.Second }, -1},
+		"just thawed": {func(_ *progress.Follower, pulse *freshness.Pulse) {
+			now += time.Second
+			pulse.Beat()
+		}, -1},
+		"confirmation from before the thaw": {func(f *progress.Follower, pulse *freshness.Pulse) {
+			now += time.Second
+			f.Observe(confirmation(5, now-100*time.Millisecond))
+			pulse.Beat()
+		}, -1},
+		"confirmation since the thaw": {func(f *progress.Follower, pulse *freshness.Pulse) {
+			now += time.Second
+			pulse.Beat()
+			now += 200 * time.Millisecond
+			pulse.Beat()
+			f.Observe(confirmation(5, now-50*time.Millisecond))
+		}, 50 * time.Millisecond},
+		"frozen, and read since": {func(f *progress.Follower, pulse *freshness.Pulse) {
+			now += time.Second
+			pulse.Beat()
+			f.Record(read(5))
+		}, 0},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			pulse := &freshness.Pulse{Now: func() time.Duration { return now }}
+			pulse.Beat()
+
+			follower := &progress.Follower{
+				MaxAge: maxAge, Freshness: &freshness.Tracker{Now: func() time.Duration { return now }}, Pulse: pulse, OnPublish: func() {},
+			}
+			follower.Record(read(5))
+			c.then(follower, pulse)
+
+			age, current := follower.CurrentAge()
+			if c.age < 0 {
+				assert.Assert(t, !current, "the list counts as confirmed %s ago", age)
+				return
+			}
+
+			assert.Assert(t, current)
+			assert.Equal(t, age, c.age)
+		})
+	}
+}
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/entry"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
@@ -83,6 +84,8 @@
 	servers := &fleet.Fleet{FromStart: settings.FirstStart}
 
 	operator, listing := p.newFollowers()
+	pulse := &freshness.Pulse{}
+	listing.Pulse = pulse
 
 	server := &entry.Entry{
 		Domain: settings.Domain,
@@ -116,7 +119,7 @@
 	server.Quarantine.OnCrash = func(crash quarantine.Crash) { go server.Links.ReportCrash(settings.VM, crash) }
 	server.Links.OnLimits = server.AdoptLimits
 	server.Entries = server.Links.KnownEntries
-	server.ListAge, server.MaxListAge = listing.Freshness.SharedAge, listing.MaxAge+listMargin
+	server.ListAge, server.MaxListAge = listing.CurrentAge, listing.MaxAge+listMargin
 	server.Links.OnSoleVersion = server.ObserveSoleVersion
 	server.Links.Versions = func(service string) ([]string, bool) { return servers.Versions(time.Now(), service) }
 	server.Origins = &link.OriginClient{Links: server.Links, Entry: settings.VM}
@@ -132,6 +135,7 @@
 	server.RegisterGauges()
 
 	go p.stalls.Run(ctx)
+	go pulse.Run(ctx)
 	go server.SyncLinks(ctx)
 	go (&roster.Roster{Store: store, Name: settings.VM, Alone: server.WithoutAgents, OnCount: server.Links.HearEntries, Log: p.log}).Run(ctx)
 	go (&watch.Watcher{
