Keep a paused agent of the product's own path while no other can take over

What callers saw: on the product's own path, a request whose agent was paused, or cut off, for more than three seconds failed with outcome_unknown or interrupted, and a stream ended with an error event, although no other server could run it and the agent went on a moment later.

The liveness probe closed the stream as soon as a Hello to an agent without a message for 2 s got no reply within 1 s, and only then the relay looked for another server.

Evidence: TestPausedAgentIsKeptWhileNoOtherCanTakeOver, with a pause of 8 s, fails in all 4 cases before the change ("502 != 200", code outcome_unknown before the response and interrupted in it; in a stream "interrupted" after the first chunk).

Change: the probe closes the stream only if another server can take over: within the number of servers, with output that can still be discarded, a server that is not known to be draining or to have failed, and a retry that is taken from the budget at once. Otherwise it goes on with Hellos. Once the agent replies again, the rest of a response is requested from it over another connection, as after a lost one, and the stream is closed at once if another process of the agent replies. What a closed stream still brings is dropped, so that no output reaches the caller that could not be discarded.

TestPausedAgent, in which another server is idle, passes before and after.

--- a/internal/entry/api/sink.go
+++ b/internal/entry/api/sink.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,6 +88,9 @@
 	return true
 }
 
+// CanReset implements relay.Sink.
+func (b *buffer) CanReset() bool { return true }
+
 // recordFirstOutput updates the metric of the time to the first output.
 func (s *requestState) recordFirstOutput() {
 	if !s.hasOutput {
@@ -126,7 +130,7 @@
 type stream struct {
 	completionBuilder
 	usage   bool
-	started bool
+	started atomic.Bool
 }
 
 func newStream(state *requestState, format completionFormat, request relay.Request, usage bool) *stream {
@@ -137,23 +141,26 @@
 func (s *stream) Chunk(chunk *rpc.Chunk) error {
 	s.state.recordFirstOutput()
 
-	started := s.started
+	started := s.started.Load()
 
 	return s.writeChunk(s.completion(s.format.chunkObjectName(), s.format.delta(chunk.Text, !started, nil)))
 }
 
 // Reset implements relay.Sink.
 func (s *stream) Reset() bool {
-	return !s.started
+	return s.CanReset()
+}
+
+// CanReset implements relay.Sink.
+func (s *stream) CanReset() bool {
+	return !s.started.Load()
 }
 
 func (s *stream) writeHeader() {
-	if s.started {
+	if s.started.Swap(true) {
 		return
 	}
 
-	s.started = true
-
 	header := s.state.echo.Response().Header()
 	header.Set("Content-Type", "text/event-stream; charset=utf-8")
 	header.Set("Cache-Control", "no-store")
@@ -189,7 +196,7 @@
 func (s *stream) writeEnd(done *rpc.Done) error {
 	finish := done.Finish
 
-	if err := s.writeChunk(s.completion(s.format.chunkObjectName(), s.format.delta("", !s.started, &finish))); err != nil {
+	if err := s.writeChunk(s.completion(s.format.chunkObjectName(), s.format.delta("", !s.started.Load(), &finish))); err != nil {
 		return err
 	}
 
@@ -217,7 +224,7 @@
 		}
 	}
 
-	if err != nil && sink.started {
+	if err != nil && sink.started.Load() {
 		_ = sink.write(string(errorEvent(err)))
 	}
 
--- a/internal/entry/relay/agent.go
+++ b/internal/entry/relay/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,28 +86,56 @@
 	return func() { end() }
 }
 
+// errGivenUp is the error of a response whose agent was given up for another server, or for another connection to it.
+var errGivenUp = errors.New("the agent sent nothing and was given up")
+
 // livenessProbe sends a Hello to an agent that sends nothing for livenessTimeout. If the Hello fails, the agent is paused or
-// the network drops packets, and the stream is closed, unless the work is not idempotent and so is never canceled. The Hello
-// also delivers pending revocations to the agent while the request waits in its queue.
+// the network drops packets, and the stream is closed if another server can take the request over: the agent may go on. Once the agent
+// responds again, the rest of the response is requested from it over another connection, since the first one may be lost. Work that is not
+// idempotent is never canceled. The Hello also delivers pending revocations to the agent while the request waits in its queue.
 type livenessProbe struct {
 	received chan struct{}
 	ended    chan struct{}
+	// begun is true once a chunk of the response was received.
+	begun atomic.Bool
+
+	mu sync.Mutex
+	// gaveUp is true once the stream is closed; what it still brings is dropped.
+	gaveUp bool
 }
 
 func (p *livenessProbe) end() {
 	close(p.ended)
 }
 
-func (p *livenessProbe) messageReceived() {
+// messageReceived records a message, and reports whether it still counts.
+func (p *livenessProbe) messageReceived() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
 	select {
 	case p.received <- struct{}{}:
 	default:
 	}
+
+	return !p.gaveUp
+}
+
+// giveUp reports whether the agent has sent nothing meanwhile, and drops further messages if so.
+func (p *livenessProbe) giveUp() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.gaveUp = len(p.received) == 0
+
+	return p.gaveUp
 }
 
 func (s *session) startProbe(ctx context.Context, stop func()) *livenessProbe {
 	p := &livenessProbe{received: make(chan struct{}, 1), ended: make(chan struct{})}
+	p.begun.Store(s.nextChunk > 0)
 	s.probe = p
+	check := &agentCheck{session: s, probe: p, boot: s.boot, resumable: s.resumes < maxResumes}
 
 	go func() {
 		for {
@@ -117,7 +147,7 @@
 			case <-time.After(livenessTimeout):
 			}
 
-			if _, err := s.relay.requestTicket(ctx, s.server); err != nil && s.request.Work.idempotent() {
+			if check.failed(ctx) && p.giveUp() {
 				stop()
 				return
 			}
@@ -127,6 +157,35 @@
 	return p
 }
 
+// agentCheck decides whether the stream to an agent that sends nothing is closed.
+type agentCheck struct {
+	session *session
+	probe   *livenessProbe
+	// boot is the process of the agent that has the request, and resumable is true if the rest of a response may be requested from it.
+	boot      string
+	resumable bool
+	// missed is true after a Hello without a reply.
+	missed bool
+}
+
+// failed sends a Hello, and reports whether the stream is to be closed.
+func (c *agentCheck) failed(ctx context.Context) bool {
+	ticket, err := c.session.relay.requestTicket(ctx, c.session.server)
+
+	switch {
+	case !c.session.request.Work.idempotent():
+		return false
+	case err != nil:
+		c.missed = true
+		return c.session.takeOver != nil && c.session.takeOver()
+	case ticket.boot != c.boot:
+		// The process that had the request has ended.
+		return true
+	default:
+		return c.missed && c.resumable && c.probe.begun.Load()
+	}
+}
+
 // queryOutcome asks the agent process for the outcome of an attempt whose response was lost. The agent marks an attempt that
 // it has not received as refused, so that the attempt cannot start later.
 func (s *session) queryOutcome(ctx context.Context, cause error) (*rpc.Done, error) {
--- a/internal/entry/relay/agent_process.go
+++ b/internal/entry/relay/agent_process.go
@@ -59,7 +59,7 @@
 		return result, fault.New(fault.Draining, "%s is no longer listed at the address of the chosen agent", process.Server)
 	}
 
-	done, err := r.sendTo(ctx, server, request, NoOutput{}, &result, process.Boot)
+	done, err := r.sendTo(ctx, server, request, NoOutput{}, &result, process.Boot, nil)
 	if err != nil {
 		return result, outcomeError(err, result)
 	}
--- a/internal/entry/relay/receive.go
+++ b/internal/entry/relay/receive.go
@@ -26,7 +26,9 @@
 			continue
 		}
 
-		s.recordMessage(down)
+		if !s.recordMessage(down) {
+			return nil, s.connectionLost(ctx, errGivenUp)
+		}
 
 		done, err := s.handle(down)
 		if done != nil || err != nil {
@@ -59,15 +61,18 @@
 	}
 }
 
-// recordMessage records the liveness, ticket and load that every message of an agent carries.
-func (s *session) recordMessage(down *rpc.RunDown) {
-	if s.probe != nil {
-		s.probe.messageReceived()
+// recordMessage records the liveness, ticket and load that every message of an agent carries. It reports whether the message still counts,
+// because the agent was not given up before.
+func (s *session) recordMessage(down *rpc.RunDown) bool {
+	if s.probe != nil && !s.probe.messageReceived() {
+		return false
 	}
 
 	s.server.Breaker.Succeeded()
 	s.relay.tickets.store(s.server.Address, s.boot, down.Ticket, time.Now())
 	s.relay.report(s.server.Name, down.Load)
+
+	return true
 }
 
 // handle processes one message. It returns the end of a complete response, or an error, or neither.
@@ -108,6 +113,11 @@
 	}
 
 	s.nextChunk++
+
+	if s.probe != nil {
+		s.probe.begun.Store(true)
+	}
+
 	s.result.OutputTokens += chunk.Tokens
 
 	if err := s.sink.Chunk(chunk); err != nil {
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -45,6 +47,8 @@
 		result  Result
 		tried   []string
 		lastErr error
+		// retryTaken is true if a retry was taken from the budget before a paused agent was given up.
+		retryTaken atomic.Bool
 	)
 
 	for {
@@ -53,7 +57,7 @@
 			return result, r.noServerError(request, result, lastErr)
 		}
 
-		if len(tried) > 0 && !r.Budget.AllowRetry(time.Now()) {
+		if len(tried) > 0 && !retryTaken.Swap(false) && !r.Budget.AllowRetry(time.Now()) {
 			deniedRetries.Inc(1)
 			return result, lastErr
 		}
@@ -62,7 +66,15 @@
 		result.Server = server.Name
 		result.Tries = len(tried)
 
-		done, err := r.sendTo(ctx, server, request, sink, &result, "")
+		used := slices.Clone(tried)
+		takeOver := func() bool {
+			taken := r.canTakeOver(request, used, sink) && r.Budget.AllowRetry(time.Now())
+			retryTaken.Store(taken)
+
+			return taken
+		}
+
+		done, err := r.sendTo(ctx, server, request, sink, &result, "", takeOver)
 		if err == nil {
 			result.Done = done
 			return result, nil
@@ -79,13 +91,22 @@
 }
 
 func (r *Relay) pick(request Request, tried []string) *member.Server {
-	return r.Picker.Pick(r.View.Value(), pick.Query{
+	return r.Picker.Pick(r.View.Value(), pickQuery(request, tried))
+}
+
+// canTakeOver reports whether another server can run the request if the one that has it is given up.
+func (r *Relay) canTakeOver(request Request, tried []string, sink Sink) bool {
+	return len(tried) < retry.MaxServers && sink.CanReset() && r.Picker.CanServe(r.View.Value(), pickQuery(request, tried))
+}
+
+func pickQuery(request Request, tried []string) pick.Query {
+	return pick.Query{
 		Capability: request.Work.capability(),
 		HashKey:    request.Work.hashKey(),
 		Adapter:    request.Work.adapterVersion(),
 		Tried:      tried,
 		Now:        time.Now(),
-	})
+	}
 }
 
 func (r *Relay) noServerError(request Request, result Result, lastErr error) error {
--- a/internal/entry/relay/request.go
+++ b/internal/entry/relay/request.go
@@ -71,6 +71,8 @@
 	// Reset discards the chunks received so far and reports whether that was possible; it is not once a chunk was sent to the
 	// caller.
 	Reset() bool
+	// CanReset reports what Reset would, and is safe for concurrent use.
+	CanReset() bool
 }
 
 // Result is the outcome of a request. Its fields other than Done are also valid when an error is returned.
@@ -105,3 +107,6 @@
 
 // Reset implements Sink.
 func (NoOutput) Reset() bool { return true }
+
+// CanReset implements Sink.
+func (NoOutput) CanReset() bool { return true }
--- a/internal/entry/relay/session.go
+++ b/internal/entry/relay/session.go
@@ -51,12 +51,15 @@
 	started bool
 	resent  bool
 	resumes int
+	// takeOver reserves a retry at another server and reports whether there is one; nil if there is never one.
+	takeOver func() bool
 	// probe is nil before the first sending.
 	probe *livenessProbe
 }
 
-// sendTo sends the request to one server. If boot is not empty, only that agent process is used.
-func (r *Relay) sendTo(ctx context.Context, server *member.Server, request Request, sink Sink, result *Result, boot string) (*rpc.Done, error) {
+// sendTo sends the request to one server. If boot is not empty, only that agent process is used. takeOver reserves a retry at another server
+// and reports whether there is one; nil if there is never one.
+func (r *Relay) sendTo(ctx context.Context, server *member.Server, request Request, sink Sink, result *Result, boot string, takeOver func() bool) (*rpc.Done, error) {
 	server.Breaker.Begin(time.Now())
 
 	s := &session{
@@ -67,6 +70,8 @@
 		result:  result,
 		id:      ident.New("run"),
 		boot:    boot,
+
+		takeOver: takeOver,
 	}
 
 	startedBefore := result.MayHaveStarted
--- a/internal/entry/server/agent_test.go
+++ b/internal/entry/server/agent_test.go
@@ -156,6 +156,17 @@
 	return &rpc.Ticket{Id: "ticket-" + strconv.FormatInt(time.Now().UnixMilli(), 10), RemainingMs: 3000}
 }
 
+// pauseFor blocks all handlers for a while.
+func (a *agent) pauseFor(pause time.Duration) {
+	resume := make(chan struct{})
+
+	a.mu.Lock()
+	a.paused = resume
+	a.mu.Unlock()
+
+	time.AfterFunc(pause, func() { close(resume) })
+}
+
 func (a *agent) waitWhilePaused() {
 	a.mu.Lock()
 	paused := a.paused
--- a/internal/entry/server/failure_test.go
+++ b/internal/entry/server/failure_test.go
@@ -282,6 +282,62 @@
 	}
 }
 
+// Guards against a request that fails because its agent is paused for a while, although no other server can run it.
+func TestPausedAgentIsKeptWhileNoOtherCanTakeOver(t *testing.T) {
+	cases := map[string]struct {
+		body string
+		// chunks is the number of chunks before the pause.
+		chunks int64
+	}{
+		"before the response":        {body: chatBody},
+		"in a response":              {body: chatBody, chunks: 1},
+		"in a stream":                {body: streamBody, chunks: 1},
+		"before a streamed response": {body: streamBody},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "s1")
+				e := f.start()
+				e.do(t, "POST", "/v1/chat/completions", chatBody)
+
+				f.agents[0].run = once(func(a *agent, stream rpc.DRPCAgent_RunStream, request *rpc.RunRequest) error {
+					for seq := range tc.chunks {
+						if err := a.chunk(stream, request, seq); err != nil {
+							return err
+						}
+					}
+
+					a.pauseFor(8 * time.Second)
+					a.waitWhilePaused()
+
+					for seq := tc.chunks; seq < int64(len(outputChunks)); seq++ {
+						if err := a.chunk(stream, request, seq); err != nil {
+							return err
+						}
+					}
+
+					return a.finish(stream, request)
+				})
+
+				// All calls end before the test does.
+				defer time.Sleep(10 * time.Second)
+
+				path := "/v1/chat/completions"
+				if tc.body == streamBody {
+					path = "/v1/completions"
+				}
+
+				got := e.do(t, "POST", path, tc.body)
+				assert.Equal(t, got.status, 200, got.body)
+				assert.Equal(t, kindOf(got), fault.Kind(""), got.body)
+				assert.Assert(t, strings.Contains(got.body, "lily"), got.body)
+			})
+		})
+	}
+}
+
 // Guards against a request that fails because its ticket expired, and against a resend without the admission checks.
 func TestExpiredTicket(t *testing.T) {
 	// expire refuses the first request with an expired ticket. If the document is unconfirmed, it also revokes the caller's key.
--- a/internal/route/pick/pick.go
+++ b/internal/route/pick/pick.go
@@ -77,6 +77,22 @@
 	return server.Server
 }
 
+// CanServe reports whether Pick would return a server that is not known to be draining or to have failed.
+func (p *Picker) CanServe(view *member.View, query Query) bool {
+	if view == nil {
+		return false
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.useView(view)
+
+	server := p.decide(query)
+
+	return server != nil && !server.Breaker.Open(query.Now) && !server.state.draining(query.Now.UnixNano())
+}
+
 // Report records the load and residency that a server has reported.
 func (p *Picker) Report(server string, load Load, now time.Time) {
 	p.mu.Lock()
