Let no entry out of step take back a version that another one has stated

Cause: an agent kept the latest complete statement of any entry. One from an entry whose list is old, or which was read from a copy of the store, replaced that of an entry which knows servers of another version. Nothing that was once stated as complete expired, not even if all entries were gone in between.

Evidence: TestHistory failed with the statements of all entries taken as those of one, as before ("an entry is out of step", "for a minute": sole "true != false").

Ruled out: claims that an entry has heard before stay right, since each is about the minute before it; agents that have heard no entry claim nothing.

Change: an agent keeps the statements of each entry for a minute, and takes all their versions together. An entry states that it knows all versions only while its list is current.

--- a/internal/forward/agent/settings.go
+++ b/internal/forward/agent/settings.go
@@ -48,12 +48,13 @@
 	defer a.mu.Unlock()
 
 	w.entries = int(settings.GetEntries())
-	a.history.Observe(settings.GetVersions(), settings.GetComplete())
 
 	if name := settings.GetEntry(); name != "" {
 		w.name = name
 	}
 
+	a.history.Observe(time.Now(), w.name, settings.GetVersions(), settings.GetComplete())
+
 	if confirmation, ok := convert.ConfirmationFromWire(settings.GetOperator()); ok {
 		w.publishedAt, w.published = confirmation.At, true
 
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -35,7 +35,7 @@
 		ConfigVersion:     a.configVersion,
 	}
 
-	wire.Software, wire.Sole = a.history.Sole()
+	wire.Software, wire.Sole = a.history.Sole(time.Now())
 
 	if confirmation, ok := a.operator.Get(); ok {
 		wire.Operator = convert.ConfirmationToWire(confirmation, &w.peer)
--- a/internal/forward/entry/origin.go
+++ b/internal/forward/entry/origin.go
@@ -67,13 +67,20 @@
 // entries may know servers that an old list lacks. A client that does not name the attempt that began its stream gives nothing else to go by.
 func (e *Entry) soleVersion(j *job) (string, bool) {
 	named := j.request.Resumes != "" || j.responseStarted
-	if age, known := e.ListAge(); named && (!known || age > e.MaxListAge) {
+	if named && !e.HasCurrentList() {
 		return "", false
 	}
 
 	return e.Fleet.SoleVersion(time.Now(), j.service.Name)
 }
 
+// HasCurrentList reports whether the list of servers was confirmed a short time ago, and this entry knows of nothing that it may lack.
+func (e *Entry) HasCurrentList() bool {
+	age, known := e.ListAge()
+
+	return known && age <= e.MaxListAge
+}
+
 // recordBegin binds a request to the process that has made the first event, which started at the given time, in Unix milliseconds; 0 if that
 // is not known. A server that could go on with a stream of unknown begin has the version at which it began.
 func (e *Entry) recordBegin(j *job, server fleet.Server, startedAt int64) {
--- a/internal/forward/origin/origin_test.go
+++ b/internal/forward/origin/origin_test.go
@@ -35,6 +35,9 @@
 	type statement struct {
 		versions []string
 		complete bool
+		// entry is that which states it, and after the time since the statement before.
+		entry string
+		after time.Duration
 	}
 
 	cases := map[string]struct {
@@ -42,23 +45,31 @@
 		sole   bool
 	}{
 		"nothing":                        {},
-		"all of one version":             {[]statement{{[]string{"v1"}, true}}, true},
-		"not all are known":              {[]statement{{[]string{"v1"}, false}}, false},
-		"two versions":                   {[]statement{{[]string{"v1", "v2"}, true}}, false},
-		"an entry that started sees two": {[]statement{{[]string{"v1"}, true}, {[]string{"v1", "v2"}, false}}, false},
-		"an entry that started sees one": {[]statement{{[]string{"v1"}, true}, {[]string{"v1"}, false}}, true},
-		"the other version is gone":      {[]statement{{[]string{"v1", "v2"}, true}, {[]string{"v2"}, true}}, true},
+		"all of one version":             {[]statement{{[]string{"v1"}, true, "a", 0}}, true},
+		"not all are known":              {[]statement{{[]string{"v1"}, false, "a", 0}}, false},
+		"two versions":                   {[]statement{{[]string{"v1", "v2"}, true, "a", 0}}, false},
+		"an entry that started sees two": {[]statement{{[]string{"v1"}, true, "a", 0}, {[]string{"v1", "v2"}, false, "a", 0}}, false},
+		"an entry that started sees one": {[]statement{{[]string{"v1"}, true, "a", 0}, {[]string{"v1"}, false, "a", 0}}, true},
+		"another one that started":       {[]statement{{[]string{"v1"}, true, "a", 0}, {[]string{"v1"}, false, "b", 0}}, true},
+		"the other version is gone":      {[]statement{{[]string{"v1", "v2"}, true, "a", 0}, {[]string{"v2"}, true, "a", 0}}, true},
+		"an entry is out of step":        {[]statement{{[]string{"v1", "v2"}, true, "a", 0}, {[]string{"v1"}, true, "b", 0}}, false},
+		"for a minute":                   {[]statement{{[]string{"v1", "v2"}, true, "a", 0}, {[]string{"v1"}, true, "b", 59 * time.Second}}, false},
+		"and no longer":                  {[]statement{{[]string{"v1", "v2"}, true, "a", 0}, {[]string{"v1"}, true, "b", 61 * time.Second}}, true},
+		"nobody has seen all of late":    {[]statement{{[]string{"v1"}, true, "a", 0}, {[]string{"v1"}, false, "a", 61 * time.Second}}, false},
 	}
 
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var history origin.History
 
+			now := time.Unix(1000, 0)
+
 			for _, s := range c.stated {
-				history.Observe(s.versions, s.complete)
+				now = now.Add(s.after)
+				history.Observe(now, s.entry, s.versions, s.complete)
 			}
 
-			_, sole := history.Sole()
+			_, sole := history.Sole(now)
 			assert.Equal(t, sole, c.sole)
 		})
 	}
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -121,7 +121,11 @@
 	server.Entries = server.Links.KnownEntries
 	server.ListAge, server.MaxListAge = listing.CurrentAge, listing.MaxAge+listMargin
 	server.Links.OnSoleVersion = server.ObserveSoleVersion
-	server.Links.Versions = func(service string) ([]string, bool) { return servers.Versions(time.Now(), service) }
+	server.Links.Versions = func(service string) ([]string, bool) {
+		versions, complete := servers.Versions(time.Now(), service)
+
+		return versions, complete && server.HasCurrentList()
+	}
 	server.Origins = &link.OriginClient{Links: server.Links, Entry: settings.VM}
 	server.Links.OnConfigVersion = server.ObserveConfigVersion
 	server.Permits = &link.PermitClient{Links: server.Links, Entry: settings.VM}
