Map the store's clock by answers that confirm nothing, too

Cause: the store of the test had no clock, so that each confirmation was as old as its request, and the watcher had hidden that by timing requests with another clock than the test's. The stand-in now has a clock; no bound of the test is changed.

Beside it, the first confirmation after a restore counted as old as its long poll, since the reads just after a restore, which confirm nothing, did not map the store's clock. They do now: TestAnswerThatConfirmsNothingMapsTheClock.

--- a/internal/forward/freshness/freshness.go
+++ b/internal/forward/freshness/freshness.go
@@ -54,14 +54,12 @@
 	// An answer is never older than its request, which also bounds the time after the store's clock was reset.
 	at := min(requested, now)
 
+	// The first answer does not tell how late it was read.
 	if t.hasOffset {
-		t.offset = min(t.offset, now-store)
-		at = min(max(store+t.offset, requested), now)
-	} else {
-		// The first answer does not tell how late it was read.
-		t.offset, t.hasOffset = now-store, true
+		at = min(max(store+min(t.offset, now-store), requested), now)
 	}
 
+	t.mapClock(now, store)
 	t.failing = false
 
 	if !t.hasConfirmed || at > t.confirmed {
@@ -90,14 +88,24 @@
 	}
 }
 
-// Recover records that the store responds again, without a confirmation.
-func (t *Tracker) Recover() {
+// Recover records that the store responds again, with its clock in an answer that confirms nothing.
+func (t *Tracker) Recover(store time.Duration) {
+	now := t.Clock()
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.mapClock(now, store)
 	t.failing = false
 }
 
+// mapClock maps the store's clock to the local one by an answer that is read now.
+func (t *Tracker) mapClock(now, store time.Duration) {
+	if offset := now - store; !t.hasOffset || offset < t.offset {
+		t.offset, t.hasOffset = offset, true
+	}
+}
+
 // FailingFor returns the time since the first failed call after the last confirmation by the store; 0 if there was none.
 func (t *Tracker) FailingFor() time.Duration {
 	now := t.Clock()
--- a/internal/forward/freshness/freshness_test.go
+++ b/internal/forward/freshness/freshness_test.go
@@ -71,3 +71,22 @@
 		})
 	}
 }
+
+// Guards against a confirmation that counts as old as its long poll, although an answer before it has shown the store's clock.
+func TestAnswerThatConfirmsNothingMapsTheClock(t *testing.T) {
+	now := 100 * time.Second
+	tracker := &freshness.Tracker{Now: func() time.Duration { return now }}
+
+	tracker.Recover(30 * time.Second)
+
+	_, known := tracker.Age()
+	assert.Assert(t, !known)
+
+	requested := now
+	now += 2 * time.Second
+	tracker.Confirm(requested, 32*time.Second)
+
+	age, known := tracker.Age()
+	assert.Assert(t, known)
+	assert.Equal(t, age, time.Duration(0))
+}
--- a/internal/forward/progress/follower.go
+++ b/internal/forward/progress/follower.go
@@ -95,7 +95,7 @@
 	f.mu.Unlock()
 
 	if read.Unsettled {
-		f.Freshness.Recover()
+		f.Freshness.Recover(read.StoreClock)
 	} else {
 		f.Freshness.Confirm(read.Requested, read.StoreClock)
 	}
--- a/internal/forward/watch/watch_test.go
+++ b/internal/forward/watch/watch_test.go
@@ -22,6 +22,7 @@
 type source struct {
 	mu           sync.Mutex
 	version, era int64
+	started      time.Time
 	all          []watch.Item
 	changes      []watch.Item
 	unresponsive bool
@@ -33,6 +34,11 @@
 	answered int
 }
 
+// clock returns the steady clock of the store.
+func (s *source) clock() time.Duration {
+	return time.Since(s.started)
+}
+
 func (s *source) Read(ctx context.Context, _ watch.Topic) (watch.Batch, error) {
 	s.set(func(s *source) { s.reads++ })
 
@@ -43,7 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return watch.Batch{Version: s.version, Era: s.era, Items: s.all}, nil
+	return watch.Batch{Version: s.version, Era: s.era, Clock: s.clock(), Items: s.all}, nil
 }
 
 func (s *source) Changes(ctx context.Context, _ watch.Topic, after int64, wait time.Duration) (watch.Batch, error) {
@@ -73,9 +79,9 @@
 		s.historyLost = false
 		return watch.Batch{}, true, watch.ErrHistoryLost
 	case after < s.version:
-		return watch.Batch{Version: s.version, Era: s.era, Items: s.changes}, true, nil
+		return watch.Batch{Version: s.version, Era: s.era, Clock: s.clock(), Items: s.changes}, true, nil
 	default:
-		return watch.Batch{Version: s.version, Era: s.era}, last, nil
+		return watch.Batch{Version: s.version, Era: s.era, Clock: s.clock()}, last, nil
 	}
 }
 
@@ -147,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
 		tracker := &freshness.Tracker{Now: func() time.Duration { return time.Since(start) }}
-		f := &fixture{source: &source{version: 1}, fleet: &fleet.Fleet{}, target: &target{}, tracker: tracker}
+		f := &fixture{source: &source{version: 1, started: start}, fleet: &fleet.Fleet{}, target: &target{}, tracker: tracker}
 		f.source.all = []watch.Item{listed("a", false), listed("b", false)}
 
 		log := logrus.New()
