Take up no stream by a list that is known not to be current

What callers would see: a client that takes a stream up without naming the attempt that began it goes on at another version, at an entry that has stood still or knows of a change that it has not read (ORDER).

Cause: a stream whose first attempt is not named went by the list whatever its state, since nothing else tells its version.

Evidence: TestSoleVersionOfAnOldList failed for "not current, and the client names none" ("sole true != false").

Ruled out: a list that is merely old, in an outage of the store; such streams still go by it, as the test says.

The process beats every 200 ms, and has stood still after 600 ms without a beat, which is fewer wake-ups than before.

--- a/internal/forward/entry/origin.go
+++ b/internal/forward/entry/origin.go
@@ -64,10 +64,13 @@
 }
 
 // soleVersion returns the software version of all servers that may have begun the stream of a request; false if there may be several. Other
-// entries may know servers that an old list lacks. A client that does not name the attempt that began its stream gives nothing else to go by.
+// entries may know servers that an old list lacks, and a list that is known not to be current gives nothing to go by. A client that does not
+// name the attempt that began its stream leaves nothing but a list that is merely old.
 func (e *Entry) soleVersion(j *job) (string, bool) {
+	age, current := e.ListAge()
 	named := j.request.Resumes != "" || j.responseStarted
-	if named && !e.HasCurrentList() {
+
+	if !current || named && age > e.MaxListAge {
 		return "", false
 	}
 
--- a/internal/forward/entry/origin_test.go
+++ b/internal/forward/entry/origin_test.go
@@ -161,6 +161,7 @@
 		"old":             {age: 3 * time.Second, known: true, resumes: "first"},
 		"never confirmed": {resumes: "first"},
 		"old, and the client names no first attempt": {age: 3 * time.Second, known: true, sole: true},
+		"not current, and the client names none":     {age: time.Second},
 	}
 
 	for name, c := range cases {
--- a/internal/forward/freshness/pulse.go
+++ b/internal/forward/freshness/pulse.go
@@ -8,8 +8,8 @@
 
 const (
 	// beatInterval is the time between two beats of a process that runs, and maxBeatGap the time without one after which it has stood still.
-	beatInterval = 100 * time.Millisecond
-	maxBeatGap   = 500 * time.Millisecond
+	beatInterval = 200 * time.Millisecond
+	maxBeatGap   = 600 * time.Millisecond
 )
 
 // Pulse tells when a process stood still, so that it does not take for current what it knew before. It is safe for concurrent use.
