Give an entry time to read a change before its list counts as incomplete

What callers would see: in a fleet whose rows change all the time, an entry in touch is behind a change for a tenth of a second, many times a second in sum. Streams that are taken up then were asked for at agents, and those whose first attempt is not named refused (LOST).

Cause: took a list for incomplete from the moment at which the entry heard of a change.

Evidence: TestCurrentAge failed for "change just heard of" before. Found by reading; not seen in a run.

Change: it counts as incomplete once the change could not be read for 400 ms. That is the time in which an entry in touch may not have heard of the change at all.

Result: the tests pass, TestStreamsAreTakenUpAtTheirVersionByAnEntryThatStoodStill among them.

--- a/internal/forward/progress/follower.go
+++ b/internal/forward/progress/follower.go
@@ -14,6 +14,8 @@
 	jitterShare = 0.2
 	// minReadInterval is the shortest time between two reads that published changes cause.
 	minReadInterval = 100 * time.Millisecond
+	// maxCatchUp is the longest time that the read of a change takes from the moment at which an entry hears of it, while the store responds.
+	maxCatchUp = 400 * time.Millisecond
 )
 
 // Follower tracks how far an entry has read one topic, and decides when it has to read it. Its exported fields are set before
@@ -134,7 +136,7 @@
 	}
 }
 
-// CurrentAge returns the time since the newest confirmation that this entry has all changes of the topic; false if it knows of one that it has
+// CurrentAge returns the time since the newest confirmation that this entry has all changes of the topic; false if it knows of one that it could
 // not read, or if there was no confirmation since the store was restored or since this process stood still. What was queued for the process
 // meanwhile confirms nothing.
 func (f *Follower) CurrentAge() (time.Duration, bool) {
@@ -149,7 +151,9 @@
 		since = max(since, f.Pulse.Resumed())
 	}
 
-	return age, known && !f.behind && confirmed >= since
+	behind := f.behind && f.Freshness.Clock()-f.behindSince > maxCatchUp
+
+	return age, known && !behind && confirmed >= since
 }
 
 // BehindFor returns for how long this entry has known of a change that it could not read; 0 if there is none.
