Count no slow client as a silent server

What callers saw: nothing yet; found in review of the watch of silent servers. A stream whose client took longer than 1.5 s to take a piece would have been moved to another server, at the cost of a retry, although its server had gone on.

Cause: progress was recorded before the piece was passed on, so that the time of the client counted as silence of the server. The read timeout that the watch replaced began after it.

Evidence: TestSlowClientIsNoSilenceOfTheServer fails with the record before the pass ("context canceled").

Change: progress is recorded after the piece is passed on. The timer has a lock of its own, so that a look does not wait for a slow client either.

--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,11 +47,16 @@
 	// is zero before.
 	heardAt, progressAt time.Time
 	body                framing.Body
-	timer               *time.Timer
+	// reported is true once a log line tells that no server can take over.
+	reported bool
+	// stopped is true once the server is given up or the response has ended.
+	stopped atomic.Bool
+
+	// timerMu is not held while an event is passed on to the client.
+	timerMu sync.Mutex
+	timer   *time.Timer
 	// dueAt is when the timer is to fire.
 	dueAt time.Time
-	// stopped is true once the server is given up or the response has ended, and reported once a log line tells that no server can take over.
-	stopped, reported bool
 }
 
 // watchSilence starts to watch the send of a request. The context that it returns ends when the server is given up.
@@ -61,12 +67,8 @@
 	}
 
 	if w.readTimeout > 0 {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-
 		wait, _ := w.untilSilent(w.heardAt)
-		w.dueAt = w.heardAt.Add(wait)
-		w.timer = time.AfterFunc(wait, w.look)
+		w.arm(wait)
 	}
 
 	return ctx, w
@@ -77,13 +79,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	w.stopped = true
+	w.stopped.Store(true)
+	w.giveUp(nil)
+
+	w.timerMu.Lock()
+	defer w.timerMu.Unlock()
 
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-
-	w.giveUp(nil)
 }
 
 // emit observes an event of the response and passes it on; nil is a heartbeat of the agent.
@@ -91,9 +95,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	err := w.response.handle(event)
+	// The time that a slow client takes does not count as silence.
 	w.observe(time.Now(), event)
 
-	return w.response.handle(event)
+	return err
 }
 
 // observe records what an event tells about the silence. In a stream of events, only whole events are progress.
@@ -153,11 +159,11 @@
 
 	defer w.mu.Unlock()
 
-	if w.stopped {
+	if w.stopped.Load() {
 		return nil, takeoverPeriod, nil
 	}
 
-	if now.Sub(w.dueAt) > stallMargin {
+	if w.isLate(now) {
 		return nil, stallMargin, nil
 	}
 
@@ -171,15 +177,28 @@
 
 // arm has the watch look again after the given time.
 func (w *silenceWatch) arm(wait time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.timerMu.Lock()
+	defer w.timerMu.Unlock()
 
-	if w.stopped {
+	if w.stopped.Load() {
 		return
 	}
 
 	w.dueAt = time.Now().Add(wait)
-	w.timer.Reset(wait)
+
+	if w.timer == nil {
+		w.timer = time.AfterFunc(wait, w.look)
+	} else {
+		w.timer.Reset(wait)
+	}
+}
+
+// isLate reports whether the timer has fired later than it was to.
+func (w *silenceWatch) isLate(now time.Time) bool {
+	w.timerMu.Lock()
+	defer w.timerMu.Unlock()
+
+	return now.Sub(w.dueAt) > stallMargin
 }
 
 // takeOver gives up the server if another one can take the request over and the retry budget allows it, and reports whether it did. The
@@ -191,7 +210,7 @@
 	defer w.mu.Unlock()
 
 	left, _ := w.untilSilent(time.Now())
-	if w.stopped || left > 0 {
+	if w.stopped.Load() || left > 0 {
 		return false
 	}
 
@@ -206,7 +225,7 @@
 
 	j := w.response.job
 	j.successor, j.expectedWait = &successor, next.expectedWait
-	w.stopped = true
+	w.stopped.Store(true)
 
 	metric.Count(w.entry.Metrics, "silence.given_up")
 	w.logSilence(silent).WithField("successor", successor.ID).Info("silent server given up")
--- a/internal/forward/entry/silence_test.go
+++ b/internal/forward/entry/silence_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// slowSink takes a while to pass a piece on to its client.
+type slowSink struct {
+	bodySink
+	delay time.Duration
+}
+
+func (s *slowSink) Write(data []byte) error {
+	time.Sleep(s.delay)
+
+	return s.bodySink.Write(data)
+}
+
+// Guards against a server that is given up because its client reads slowly.
+func TestSlowClientIsNoSilenceOfTheServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, r := plainEntry(catalog.Resumable, fleet.Server{ID: "b", Service: "s", Version: "v1"})
+		r.job.sink = &slowSink{delay: 2 * time.Second}
+
+		ctx, watch := e.watchSilence(t.Context(), silentServer, r)
+		defer watch.stop()
+
+		assert.NilError(t, watch.emit(message.RequestSent{}))
+		assert.NilError(t, watch.emit(head(200, "text/event-stream")))
+
+		for range 3 {
+			assert.NilError(t, watch.emit(message.Data{Bytes: []byte("data: a\n\n")}))
+			time.Sleep(time.Second)
+			assert.NilError(t, ctx.Err())
+		}
+	})
+}
+
 // pausingAgent sends nothing for a while, as an agent that stands still, and then the response of its server.
 type pausingAgent struct {
 	relay.DRPCRelayUnimplementedServer
