Answer requests that have arrived when the product's entry drains

A request on the product's own path whose head had come in part when the entry shut its server down was read and dropped: the caller saw its connection close without a response.

Cause: as on the users' platform, http.Server.Shutdown closes a connection from which it reads a request.

Evidence: TestDrainAnswersARequestThatIsBeingRead sends half a head 2.9 s after the signal and the rest 0.2 s later. On the code before: "unexpected EOF"; it gets 503 now.

Ruled out: a request that runs and whose connection Shutdown closes. Shutdown is marked before connections are looked at, and net/http looks at the mark before it runs a request.

Change: the entry uses the graceful listener and drains it before Shutdown, within the same limit. Abort breaks requests off where http.Server.Close did: after that limit, and when a part of the process fails.

--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -26,6 +26,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/route/retry"
 	"github.com/chestnutbeam/chestnutbeam/internal/state/board"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/graceful"
 )
 
 const (
@@ -81,6 +82,8 @@
 	// Dial opens connections to agents; nil dials TCP.
 	Dial conn.Dialer
 
+	// connections are those of callers.
+	connections     *graceful.Listener
 	readiness       probe.Readiness
 	members         *member.Controller
 	controllerGroup sync.WaitGroup
@@ -120,8 +123,9 @@
 
 	s.startControllers(controllersCtx, failures, append([]Controller{s.members, executor, controllerFunc(s.servePeers)}, s.Controllers...)...)
 
+	s.connections = &graceful.Listener{Listener: s.HTTP, HeaderTimeout: headerTimeout}
 	server := s.httpServer(s.httpHandler(agentRelay, executor))
-	s.startControllers(controllersCtx, failures, controllerFunc(func(context.Context) error { return serveHTTP(server, s.HTTP) }))
+	s.startControllers(controllersCtx, failures, controllerFunc(func(context.Context) error { return serveHTTP(server, s.connections) }))
 
 	go s.awaitReady(controllersCtx)
 
@@ -129,7 +133,7 @@
 	case <-ctx.Done():
 		return s.drain(server)
 	case err := <-failures:
-		_ = server.Close()
+		s.closeNow(server)
 		return err
 	}
 }
@@ -194,12 +198,13 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.connections.ObserveState,
 	}
 }
 
 func serveHTTP(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 
@@ -242,6 +247,12 @@
 	return router
 }
 
+// closeNow closes all connections, also those with a request.
+func (s *Server) closeNow(server *http.Server) {
+	_ = server.Close()
+	s.connections.Abort()
+}
+
 // drain shuts the process down gracefully: running requests finish.
 func (s *Server) drain(server *http.Server) error {
 	log := logrus.WithField("component", "server")
@@ -263,8 +274,11 @@
 		ctx = timeoutCtx
 	}
 
+	server.SetKeepAlivesEnabled(false)
+	s.connections.Drain(ctx)
+
 	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
+		s.closeNow(server)
 		return errors.Wrap(err, "running requests did not finish in time")
 	}
 
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -1,5 +1,5 @@
-// Package graceful lets an HTTP server close idle connections without losing a request that has just been read. net/http marks a connection
-// as active only once the head of a request is parsed, and closes connections that are idle until then.
+// Package graceful lets an HTTP server stop without losing a request of which it has read a byte. net/http marks a connection as active only
+// once the head of a request is parsed, and closes connections that are idle until then.
 package graceful
 
 import (
@@ -15,8 +15,8 @@
 // pollInterval is the time between two looks at the connections that Drain and Wait wait for.
 const pollInterval = 10 * time.Millisecond
 
-// Listener accepts connections that are closed once they have no request. Its ObserveState is to be the ConnState of the server. A call of
-// http.Server.Close does not break off requests. Exported fields are set before use.
+// Listener accepts connections that are closed once they have no request. Its ObserveState is to be the ConnState of the server. http.Server.Close
+// does not break off requests, but Abort does. Exported fields are set before use.
 type Listener struct {
 	net.Listener
 	// HeaderTimeout bounds the time to read the rest of a head of which a part has been read when its connection is to be closed; 0 is no
