Soak stops of entries, judged by rule LOST

Users lost streams around the SIGTERM of entries that end and start every few seconds, with bodies in chunks and streams of very different lengths. No soak played this: the other ones judge what comes back, and not what ends without a whole response.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 TIME ?= 20s
 
-.PHONY: build test lint format generate demo soak soak-hosted soak-restore soak-machine measure measure-own slopes bench fuzz
+.PHONY: build test lint format generate demo soak soak-hosted soak-restore soak-machine soak-stop measure measure-own slopes bench fuzz
 
 build:
 	go build -o bin/chestnutbeam ./cmd/chestnutbeam
@@ -45,6 +45,10 @@
 soak-machine:
 	go test -count=1 -timeout 0 -run '^TestMachineSeeds$$' ./platform/soak -soak.machine.first $(SEED) -soak.machine.seeds $(SEEDS) -soak.length $(LENGTH)
 
+# Entries that stop in series beside signals, configurations, releases, freezes and busy processes, judged by rule LOST.
+soak-stop:
+	go test -count=1 -timeout 0 -parallel 2 -v -run '^TestStopSeeds$$' ./platform/soak -soak.stop.first $(SEED) -soak.stop.seeds $(SEEDS) -soak.length $(LENGTH)
+
 # Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
 slopes:
 	go run ./cmd/slopes
