Drop what a silent server still sends once it is given up

A review of the watch of silent servers showed two faults; callers saw nothing yet.

An event that had been read when its server was given up was still passed on. A stream that had not begun was bound by it to the version of that server, and then went on at the successor, which had been chosen without a version.

The handling of a closed connection of a plain service used the job beside the look for a successor, which copies it.

Change: the watch remembers why the server was given up, drops its events from then on, and is stopped as soon as the exchange with a plain server has ended. A given up server is an unknown outcome, not a client that has left.

TestSilentServerIsGivenUpOnceAnotherCanTakeOver sent events after the server was given up and expected them to be taken; it now expects that they are not.

--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -208,10 +208,13 @@
 	if j.service.Engine != nil {
 		last = e.relay(watched, j, server, watch.emit)
 	} else {
-		last = e.direct(watched, j, server, watch.emit)
+		last = e.direct(ctx, j, server, watch)
+	}
+
+	if silent := watch.stop(); silent != nil {
+		last = givenUp(last, silent)
 	}
 
-	watch.stop()
 	checkRefused(j, response.status, last)
 
 	j.broken = response.status == http.StatusOK
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -29,12 +29,14 @@
 const endProbeTimeout = 100 * time.Millisecond
 
 // direct sends the request to a server of a plain service and returns the outcome.
-func (e *Entry) direct(ctx context.Context, j *job, server fleet.Server, emit upstream.Emit) message.Event {
+func (e *Entry) direct(ctx context.Context, j *job, server fleet.Server, watch *silenceWatch) message.Event {
 	e.plainLoads.begin(server.ID)
 	defer e.plainLoads.end(server.ID)
 
 	sentAt := time.Now()
-	last, info := e.PlainClient.Exchange(ctx, server.Address, j.delivery(server, 0), emit)
+	last, info := e.PlainClient.Exchange(watch.ctx, server.Address, j.delivery(server, 0), watch.emit)
+	// From here on the job is used without the lock of the watch.
+	silent := watch.stop()
 
 	if info != nil && info.Framing != "" {
 		metric.Count(e.Metrics, "response.framing."+string(info.Framing))
@@ -46,7 +48,7 @@
 	}
 
 	j.crash = nil
-	if info != nil && info.Ended() {
+	if info != nil && info.Ended() && silent == nil {
 		j.crash = e.crashOf(ctx, j, server, sentAt)
 	}
 
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -51,6 +51,8 @@
 	reported bool
 	// stopped is true once the server is given up or the response has ended.
 	stopped atomic.Bool
+	// gaveUp is why the server was given up; nil if it was not.
+	gaveUp error
 
 	// timerMu is not held while an event is passed on to the client.
 	timerMu sync.Mutex
@@ -74,8 +76,8 @@
 	return ctx, w
 }
 
-// stop ends the watch. The job is not used by it any more.
-func (w *silenceWatch) stop() {
+// stop ends the watch, and returns why the server was given up; nil if it was not. The job is not used by the watch any more.
+func (w *silenceWatch) stop() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -88,13 +90,30 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+
+	return w.gaveUp
 }
 
-// emit observes an event of the response and passes it on; nil is a heartbeat of the agent.
+// givenUp returns the outcome of a send to a server that was given up for the given reason.
+func givenUp(last message.Event, silent error) message.Event {
+	failed, ok := last.(message.Failed)
+	if !ok {
+		return last
+	}
+
+	return message.Failed{Err: fault.Wrap(errors.CombineErrors(silent, failed.Err), fault.OutcomeUnknown, "the server was given up")}
+}
+
+// emit observes an event of the response and passes it on; nil is a heartbeat of the agent. Events of a server that is given up are dropped,
+// since its successor was chosen for what the client had before.
 func (w *silenceWatch) emit(event message.Event) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	if w.gaveUp != nil {
+		return w.gaveUp
+	}
+
 	err := w.response.handle(event)
 	// The time that a slow client takes does not count as silence.
 	w.observe(time.Now(), event)
@@ -226,6 +245,7 @@
 	j := w.response.job
 	j.successor, j.expectedWait = &successor, next.expectedWait
 	w.stopped.Store(true)
+	w.gaveUp = silent
 
 	metric.Count(w.entry.Metrics, "silence.given_up")
 	w.logSilence(silent).WithField("successor", successor.ID).Info("silent server given up")
--- a/internal/forward/entry/silence_test.go
+++ b/internal/forward/entry/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,11 +12,13 @@
 	"gotest.tools/v3/assert"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
@@ -115,6 +118,12 @@
 
 				for _, piece := range c.pieces {
 					time.Sleep(time.Second)
+
+					if ctx.Err() != nil {
+						assert.Assert(t, watch.emit(piece) != nil, "the server is given up, and its event is passed on")
+						break
+					}
+
 					assert.NilError(t, watch.emit(piece))
 				}
 
@@ -225,3 +234,69 @@
 		})
 	}
 }
+
+// Guards against a stream whose first event arrives as its silent server is given up, and that goes on at a server of another version (ORDER).
+func TestEventOfAServerThatIsGivenUpIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, r := plainEntry(catalog.Resumable, fleet.Server{ID: "b", Service: "s", Version: "v2"})
+		ctx, watch := e.watchSilence(t.Context(), silentServer, r)
+
+		assert.NilError(t, watch.emit(message.RequestSent{}))
+		<-ctx.Done()
+
+		assert.ErrorIs(t, watch.emit(head(200, "text/event-stream")), errServerSilent)
+		assert.ErrorIs(t, watch.stop(), errServerSilent)
+		assert.Assert(t, e.afterFailure(t.Context(), r.job, silentServer, message.Failed{Err: fault.New(fault.OutcomeUnknown, "silent")}))
+
+		next, refused := e.next(t.Context(), r.job)
+		assert.Assert(t, refused == nil, "%v", refused)
+		assert.Equal(t, next.ID, "b")
+		assert.Assert(t, !r.job.bound && !r.job.responseStarted, "the client has a part of the stream of the server that was given up")
+	})
+}
+
+// bareCodec sends no headers and reads none.
+type bareCodec struct{}
+
+func (bareCodec) Encode(*message.Delivery, time.Duration) []message.Header { return nil }
+
+func (bareCodec) Decode(status int, _ http.Header) upstream.ResponseInfo {
+	return upstream.ResponseInfo{Head: message.Head{Status: status}}
+}
+
+// Guards against a data race between the look for another server and the handling of a connection that was closed.
+func TestLookBesideAClosedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+
+	go func() {
+		for {
+			accepted, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			go func() {
+				_, _ = accepted.Read(make([]byte, 4096))
+
+				time.Sleep(400 * time.Millisecond)
+
+				_ = accepted.Close()
+			}()
+		}
+	}()
+
+	server := fleet.Server{ID: "a", Service: "s", Address: listener.Addr().String()}
+	e := testEntry(nil)
+	e.Fleet.Put(server)
+	e.PlainClient = &upstream.Client{Codec: bareCodec{}}
+
+	j := testJob(catalog.Idempotent)
+	j.service.Engine = nil
+	j.route.Objective = 50 * time.Millisecond
+	j.sink = &bodySink{}
+
+	_, failed := e.send(t.Context(), j, server).(message.Failed)
+	assert.Assert(t, failed)
+}
