Let a request return to its silent server if no other one takes over

Callers saw streams cut after 1.5 s of silence of their server, and 502 for idempotent requests, although the silent server would have gone on: the server for which it was given up kept the request in its queue for 2.1 s and refused it, up to three times, or refused it at once (LOST).

Cause: a successor was chosen by its expected wait, which is a forecast; that another server goes on is known only once it has begun to. Class: a promise given on a guess.

Change: a request that takes over waits at most 0.3 s in a queue; a server that refuses it is not asked again, and after two refusals, or if there is no other, the request goes back to the silent server, within its attempts and on the retry that was taken. A silent model server whose agent is heard is given up only if it takes requests, so that the way back is open. A server whose agent is silent, or of a plain service, is given up as before.

Ruled out: sending to the successor before the silent server is given up, which would let both run the stream at the same time.

--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -100,7 +100,7 @@
 
 	// A server whose queue was too long may be chosen again, since it may have loaded the adapter in the meantime; a server
 	// that rejected the request itself is excluded.
-	if refused.ByBackend || refused.Err.Kind != fault.Overloaded {
+	if refused.ByBackend || refused.Err.Kind != fault.Overloaded || j.gaveUp != nil {
 		j.excluded[server.ID] = true
 	}
 
@@ -129,6 +129,10 @@
 	j.runs++
 	j.excluded[server.ID] = true
 
+	if j.successor == nil {
+		j.gaveUp = nil
+	}
+
 	wanted := ctx.Err() == nil && !j.clientDisconnected
 	if wanted {
 		e.health.recordFailure(time.Now(), server.ID)
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,10 @@
 	takeoverPeriod = 250 * time.Millisecond
 	// stallMargin is the delay of a timer above which this process has stood still, and may not have read what it has received.
 	stallMargin = 200 * time.Millisecond
+	// maxTakeoverWait is how long a request may wait in the queue of a server that takes over from a silent one, which may go on meanwhile.
+	maxTakeoverWait = 300 * time.Millisecond
+	// maxTakeoverRefusals is the number of servers that may refuse to take over before the request returns to the silent one.
+	maxTakeoverRefusals = 2
 )
 
 var (
@@ -224,6 +229,9 @@
 // response may have gone on during the search.
 func (w *silenceWatch) takeOver(next *job, silent error) bool {
 	successor, refused := w.entry.findSuccessor(w.ctx, next)
+	if refused == nil && errors.Is(silent, errServerSilent) && !w.entry.mayReturn(next, w.server) {
+		refused = errNoReturn
+	}
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -243,7 +251,8 @@
 	}
 
 	j := w.response.job
-	j.successor, j.expectedWait = &successor, next.expectedWait
+	j.successor, j.gaveUp, j.expectedWait = &successor, &w.server, next.expectedWait
+	j.refusals = 0
 	w.stopped.Store(true)
 	w.gaveUp = silent
 
@@ -280,6 +289,7 @@
 	next.broken = r.status == http.StatusOK
 	next.excluded = maps.Clone(next.excluded)
 	next.excluded[server.ID] = true
+	next.gaveUp = &server
 
 	return &next
 }
@@ -288,6 +298,8 @@
 	errNoAttemptLeft = fault.New(fault.OutcomeUnknown, "the route allows no further run")
 	errNoRepeat      = fault.New(fault.OutcomeUnknown, "the quarantine allows no further run")
 	errNoRetryLeft   = fault.New(fault.OutcomeUnknown, "the retry budget allows no further run")
+	errNoReturn      = fault.New(fault.OutcomeUnknown, "the silent server takes no request again, should the other one refuse")
+	errNoTakeover    = fault.New(fault.OutcomeUnknown, "the servers that could take over refuse the request")
 )
 
 // findSuccessor returns the server that can run the request after the one that is given up, or why there is none. It takes nothing from the
@@ -305,7 +317,20 @@
 	return e.choose(ctx, next)
 }
 
-// next returns the server to which the request is sent next: the one for which a silent one was given up, if it is still usable.
+// mayReturn reports whether a request could go back to a silent model server, whose agent is heard. That another one will run the request is
+// known only once it has begun to.
+func (e *Entry) mayReturn(j *job, silent fleet.Server) bool {
+	if j.service.Engine == nil {
+		return true
+	}
+
+	state, connected := e.Links.State(silent.ID)
+
+	return connected && state.Ready && slices.Contains(e.Fleet.Usable(time.Now(), j.service.Name), silent)
+}
+
+// next returns the server to which the request is sent next: the one for which a silent one was given up, if it is still usable, and the silent
+// one again if no other takes the request over.
 func (e *Entry) next(ctx context.Context, j *job) (fleet.Server, *fault.Error) {
 	successor := j.successor
 	j.successor = nil
@@ -316,5 +341,33 @@
 		}
 	}
 
+	if j.gaveUp != nil && j.refusals >= maxTakeoverRefusals {
+		return e.returnToSilent(ctx, j, errNoTakeover)
+	}
+
+	server, err := e.choose(ctx, j)
+	if err != nil && j.gaveUp != nil {
+		return e.returnToSilent(ctx, j, err)
+	}
+
+	return server, err
+}
+
+// returnToSilent chooses with the silent server that was given up, or returns the error if its process is no longer listed.
+func (e *Entry) returnToSilent(ctx context.Context, j *job, err *fault.Error) (fleet.Server, *fault.Error) {
+	silent := *j.gaveUp
+	j.gaveUp = nil
+
+	if listed, ok := e.Fleet.Get(silent.ID); !ok || listed != silent {
+		return fleet.Server{}, err
+	}
+
+	delete(j.excluded, silent.ID)
+	j.returnsTo = silent.ID
+
+	metric.Count(e.Metrics, "silence.returned")
+	e.Log.WithError(err).WithFields(logrus.Fields{fieldRequest: j.request.ID, "server": silent.ID, "last": j.splitter.LastID}).
+		Info("no server takes over, the silent one may go on")
+
 	return e.choose(ctx, j)
 }
--- a/internal/forward/entry/silence_test.go
+++ b/internal/forward/entry/silence_test.go
@@ -235,6 +235,59 @@
 	}
 }
 
+// Guards against a stream that ends because the server for which a silent one was given up refuses it, although the silent one goes on (LOST).
+func TestRequestReturnsToTheSilentServer(t *testing.T) {
+	other := fleet.Server{ID: "b", Service: "s", Version: "v1"}
+
+	cases := map[string]struct {
+		prepare func(e *Entry, j *job)
+		want    string
+	}{
+		"another server may take over": {func(*Entry, *job) {}, "b"},
+		"it refuses":                   {func(_ *Entry, j *job) { j.excluded["b"] = true }, "a"},
+		"two of them refuse":           {func(_ *Entry, j *job) { j.refusals, j.excluded["b"] = maxTakeoverRefusals, true }, "a"},
+		"the silent one starts anew": {func(e *Entry, j *job) {
+			j.excluded["b"] = true
+			e.Fleet.Put(fleet.Server{ID: "a", Service: "s", Version: "v1", StartedAt: 5})
+		}, ""},
+		"it failed before": {func(_ *Entry, j *job) { j.gaveUp, j.excluded["b"] = nil, true }, ""},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e, r := plainEntry(catalog.Resumable, other)
+			r.job.gaveUp = &silentServer
+			r.job.excluded["a"] = true
+			c.prepare(e, r.job)
+
+			server, err := e.next(t.Context(), r.job)
+			assert.Equal(t, server.ID, c.want)
+			assert.Equal(t, err == nil, c.want != "")
+		})
+	}
+}
+
+// Guards against a refusal that counts the silent server out, or lets the one that refused be chosen again.
+func TestRefusalToTakeOver(t *testing.T) {
+	e, r := plainEntry(catalog.Resumable, fleet.Server{ID: "b", Service: "s"})
+	j := r.job
+	j.successor, j.gaveUp = &fleet.Server{ID: "b", Service: "s"}, &silentServer
+
+	assert.Assert(t, e.afterFailure(t.Context(), j, silentServer, message.Failed{Err: fault.New(fault.OutcomeUnknown, "silent")}))
+
+	server, err := e.next(t.Context(), j)
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, server.ID, "b")
+	assert.Assert(t, j.maxWait() <= maxTakeoverWait)
+
+	assert.Assert(t, e.afterRefusal(t.Context(), j, server, message.Refused{Err: fault.New(fault.Overloaded, "queue")}))
+
+	server, err = e.next(t.Context(), j)
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, server.ID, "a")
+	assert.Assert(t, j.maxWait() > maxTakeoverWait)
+}
+
 // Guards against a stream whose first event arrives as its silent server is given up, and that goes on at a server of another version (ORDER).
 func TestEventOfAServerThatIsGivenUpIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/entry/timeouts.go
+++ b/internal/forward/entry/timeouts.go
@@ -20,6 +20,17 @@
 // are queued behind those that can meet it, so waiting longer than the objective delays no other request. A request that
 // would wait until its client disconnects is refused.
 func (j *job) maxWait() time.Duration {
+	wait := j.usefulWait()
+
+	if j.gaveUp != nil {
+		wait = min(wait, maxTakeoverWait)
+	}
+
+	return wait
+}
+
+// usefulWait returns how long the request may wait for a response that is still of use to its client.
+func (j *job) usefulWait() time.Duration {
 	if !j.route.Stream {
 		return refuse.MaxPlainWait(j.remaining())
 	}
