Bound the wait of a request that was taken by a forecast

Callers saw requests that a draining entry had taken 2.4 s after SIGTERM, and that were reset at the end of the process without having run: they waited in the queue of an agent (LOST).

Cause: the forecast of a response counts from its start, and nothing bounded the time until then.

Change: a request that is taken by a forecast may wait at an agent only for as long as the forecast still fits before the end; the agent then refuses it, truthfully. The forecast is not asked where the deadline fits.

--- a/internal/forward/entry/drain.go
+++ b/internal/forward/entry/drain.go
@@ -94,6 +94,15 @@
 	ground       drainGround
 }
 
+// startBy returns when a request must have been started so that it ends in time as forecast; the zero time if it ends by its deadline.
+func (d drainDecision) startBy() time.Time {
+	if d.ground != groundForecast {
+		return time.Time{}
+	}
+
+	return time.Now().Add(d.left - d.needed)
+}
+
 // checkDrainBeforeSend refuses a request that has not run anywhere, and that may still be under way when this process ends. One that may have
 // run cannot be refused truthfully, and is sent on.
 func (e *Entry) checkDrainBeforeSend(j *job) *fault.Error {
@@ -101,7 +110,8 @@
 		return nil
 	}
 
-	_, err := e.checkDrain(j)
+	decision, err := e.checkDrain(j)
+	j.startBy = decision.startBy()
 
 	return err
 }
@@ -119,7 +129,7 @@
 	decision := drainDecision{left: left, needed: j.remaining(), ground: groundDeadline}
 
 	expected, known := e.durations.expected(now, j.route.Name)
-	if known && e.drain.since(now) < forecastTime && expected < decision.needed {
+	if decision.needed > left && known && e.drain.since(now) < forecastTime && expected < decision.needed {
 		decision.needed, decision.ground = expected, groundForecast
 	}
 
--- a/internal/forward/entry/drain_test.go
+++ b/internal/forward/entry/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -56,3 +57,31 @@
 		})
 	}
 }
+
+// Guards against a request that a draining entry takes by the forecast of its response, and that waits in the queue of an agent for so long that
+// the process ends before its response (LOST).
+func TestForecastBoundsTheWaitForAServer(t *testing.T) {
+	cases := map[string]struct {
+		deadline time.Duration
+		most     time.Duration
+	}{
+		"by forecast": {deadline: 10 * time.Second, most: 500 * time.Millisecond},
+		"by deadline": {deadline: 2 * time.Second, most: 2 * time.Second},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e, j := testEntry(nil), testJob(catalog.Resumable)
+				j.deadline = time.Now().Add(c.deadline)
+				e.durations.record(time.Now(), j.route.Name, 1499*time.Millisecond)
+
+				unbounded := j.maxWait()
+				e.Drain(time.Now(), time.Now().Add(2*time.Second))
+
+				assert.Assert(t, e.checkDrainBeforeSend(j) == nil)
+				assert.Equal(t, j.maxWait(), min(unbounded, c.most))
+			})
+		})
+	}
+}
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -73,6 +73,8 @@
 	timeToFirst  time.Duration
 	// drain is why the request was taken although the process was draining.
 	drain drainDecision
+	// startBy is when the request must have been started at a server, so that it ends before the process as forecast; zero for no limit.
+	startBy time.Time
 	// active is the request as the log shows it if the end of the process cuts it off.
 	active *activeRequest
 	// servers lists the ids of the chosen servers in order, for the log.
--- a/internal/forward/entry/timeouts.go
+++ b/internal/forward/entry/timeouts.go
@@ -26,6 +26,10 @@
 		wait = min(wait, maxTakeoverWait)
 	}
 
+	if !j.startBy.IsZero() {
+		wait = min(wait, max(time.Until(j.startBy), 0))
+	}
+
 	return wait
 }
 
