Leave a request unread that crosses the close of its connection

Since bytes are read and dropped after a response, a request that a client sent on a kept connection just as the entry closed it was read and had no answer. A request that is reset unread may be sent again; one that was read may count as lost.

Cause: the read after a response went on until the client closed the connection, also if it had the whole response.

Evidence: TestRequestThatCrossesTheCloseStaysUnread sends a request between the end of a response, whose head did not tell of the close, and the close.

Change: bytes are read only while the kernel has bytes of the response that the client has not acknowledged (SIOCOUTQ), for a second at most. Otherwise the connection is closed at once, as it was before that read was added. A client that sends its next request after the whole response has acknowledged it.

--- a/internal/wire/graceful/conn.go
+++ b/internal/wire/graceful/conn.go
@@ -6,16 +6,18 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // lastReadTimeout bounds the last read of an idle connection that is to be closed. It is long enough to read what has arrived.
 const lastReadTimeout = 10 * time.Millisecond
 
-// lingerTimeout bounds the time for which bytes are read and dropped after a response, until the client has closed the connection. A close
-// with unread bytes makes the kernel drop what it has not sent yet.
+// lingerTimeout bounds the time for which bytes are read and dropped after a response, until the client has all of it. A close with unread
+// bytes makes the kernel drop what it has not sent yet.
 const lingerTimeout = time.Second
 
 // errNoCloseWrite is returned by CloseWrite if the connection has no writing side of its own.
@@ -118,7 +120,7 @@
 	case http.StateClosed:
 		c.active = false
 
-		if c.responded && c.CloseWrite() == nil {
+		if c.responded && unacknowledged(c.Conn) && c.CloseWrite() == nil {
 			go c.linger()
 			return
 		}
@@ -140,15 +142,40 @@
 	_ = c.end()
 }
 
-// linger closes the connection for good once the client has closed it, or after lingerTimeout.
+// linger closes the connection for good once the client has the whole response or has closed the connection, or after lingerTimeout.
 func (c *conn) linger() {
-	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.Copy(io.Discard, c.Conn)
+	for end := time.Now().Add(lingerTimeout); unacknowledged(c.Conn) && time.Now().Before(end); {
+		if c.Conn.SetReadDeadline(time.Now().Add(pollInterval)) != nil {
+			break
+		}
+
+		if _, err := io.Copy(io.Discard, c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
 	}
 
 	_ = c.end()
 }
 
+// unacknowledged reports whether the peer of a TCP connection has not acknowledged all bytes yet.
+func unacknowledged(raw net.Conn) bool {
+	tcp, ok := raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+
+	control, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+
+	var count int
+
+	controlErr := control.Control(func(fd uintptr) { count, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+
+	return controlErr == nil && err == nil && count > 0
+}
+
 // hasRequest reports whether a request is being read or served.
 func (c *conn) hasRequest() bool {
 	c.mu.Lock()
--- a/internal/wire/graceful/linger_test.go
+++ b/internal/wire/graceful/linger_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,3 +100,96 @@
 		})
 	}
 }
+
+// countingListener counts the bytes that are read from its connections.
+type countingListener struct {
+	net.Listener
+	read *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return countingConn{accepted.(*net.TCPConn), l.read}, nil
+}
+
+type countingConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	c.read.Add(int64(n))
+
+	return n, err
+}
+
+// WriteTo implements io.WriterTo by way of Read.
+func (c countingConn) WriteTo(w io.Writer) (int64, error) {
+	return io.Copy(w, struct{ io.Reader }{c})
+}
+
+// Guards against a request that crosses the close of its connection and is read without being answered.
+func TestRequestThatCrossesTheCloseStaysUnread(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	var (
+		read   atomic.Int64
+		server *http.Server
+	)
+
+	received := make(chan struct{})
+	crossed := make(chan struct{})
+	listener := &graceful.Listener{Listener: countingListener{raw, &read}}
+	server = &http.Server{ConnState: func(conn net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			<-crossed
+		}
+
+		listener.ObserveState(conn, state)
+	}, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// The head of this response doesn't tell that the connection will be closed.
+		assert.Check(t, http.NewResponseController(w).Flush())
+		server.SetKeepAlivesEnabled(false)
+	})}
+
+	go func() { _ = server.Serve(listener) }()
+
+	client, err := net.Dial("tcp", raw.Addr().String())
+	assert.NilError(t, err)
+
+	defer func() { _ = client.Close() }()
+
+	go func() {
+		<-received
+
+		_, _ = io.WriteString(client, request)
+
+		close(crossed)
+	}()
+
+	_, err = io.WriteString(client, request)
+	assert.NilError(t, err)
+
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	assert.NilError(t, err)
+
+	_, err = io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	// The background read of net/http ends before the connection is taken for idle.
+	time.Sleep(50 * time.Millisecond)
+	close(received)
+
+	<-crossed
+	listener.Wait(t.Context())
+	listener.Drain(t.Context())
+	assert.Equal(t, read.Load(), int64(len(request)))
+}
