--- a/internal/forward/upstream/endless_test.go
+++ b/internal/forward/upstream/endless_test.go
@@ -120,10 +120,15 @@
 func TestProgressOfAStreamIsWholeEvents(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nMark: 1\r\n"
 
-	heads := map[string]string{
-		"event stream":    head + "Content-Type: text/event-stream\r\n\r\n",
-		"another type":    head + "Content-Type: text/html\r\n\r\n",
-		"no content type": head + "\r\n",
+	kinds := map[string]struct {
+		head string
+		// stream is true if the route of the request streams.
+		stream bool
+	}{
+		"event stream":                  {head: head + "Content-Type: text/event-stream\r\n\r\n", stream: true},
+		"event stream on another route": {head: head + "Content-Type: text/event-stream\r\n\r\n"},
+		"another type":                  {head: head + "Content-Type: text/html\r\n\r\n", stream: true},
+		"no content type":               {head: head + "\r\n", stream: true},
 	}
 
 	cases := map[string]struct {
@@ -138,18 +143,18 @@
 	}
 
 	for name, c := range cases {
-		for kind, start := range heads {
-			t.Run(name+", "+kind, func(t *testing.T) {
+		for kindName, kind := range kinds {
+			t.Run(name+", "+kindName, func(t *testing.T) {
 				t.Parallel()
 
-				address := serveEndless(t, start, c.piece, 100*time.Millisecond)
+				address := serveEndless(t, kind.head, c.piece, 100*time.Millisecond)
 
 				// The read timeout of delivery is 300 ms.
 				ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
 				defer cancel()
 
 				request := delivery("1")
-				request.Stream = true
+				request.Stream = kind.stream
 
 				_, _ = (&upstream.Client{Codec: codec{}}).Exchange(ctx, address, request, func(message.Event) error { return nil })
 				assert.Equal(t, ctx.Err() == nil, c.cut)
