--- a/internal/forward/entry/active.go
+++ b/internal/forward/entry/active.go
@@ -62,7 +62,7 @@
 	took := now.Sub(r.request.Arrived)
 
 	return logrus.Fields{
-		fieldRequest: r.request.ID, "route": r.route, "took": took.Milliseconds(), "since": (since - took).Milliseconds(), "ground": r.ground, "server": r.server, "begun": r.begun,
+		fieldRequest: r.request.ID, "route": r.route, "took": took.Milliseconds(), "since": (since - took).Milliseconds(), "ground": r.ground, fieldServer: r.server, "begun": r.begun,
 	}
 }
 
--- a/internal/forward/entry/notices.go
+++ b/internal/forward/entry/notices.go
@@ -51,6 +51,6 @@
 	}
 
 	e.notices.observe(time.Now(), server, stated)
-	e.Log.WithField("server", instance).WithField("leaving", stated.Leaving).WithField("rest", stated.Rest.Milliseconds()).
+	e.Log.WithField(fieldServer, instance).WithField("leaving", stated.Leaving).WithField("rest", stated.Rest.Milliseconds()).
 		Info("server stated whether it takes requests")
 }
--- a/internal/forward/entry/permit.go
+++ b/internal/forward/entry/permit.go
@@ -49,7 +49,7 @@
 
 func (e *Entry) logLimit(stated throttle.Statement, source string) {
 	metric.Count(e.Metrics, "limit.changed")
-	e.Log.WithField("server", stated.Server).WithField("limit", stated.Limit.String()).WithField("source", source).
+	e.Log.WithField(fieldServer, stated.Server).WithField("limit", stated.Limit.String()).WithField("source", source).
 		Info("limit of a plain service changed")
 }
 
--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -77,7 +77,7 @@
 // logHeld logs that a subject is in quarantine because of a crash, or because another entry holds it, as the agent of a server says.
 func (q *Quarantine) logHeld(subject, cause, server string) {
 	metric.Count(q.Metrics, "quarantine.begun."+string(quarantine.KindOf(subject)))
-	q.logSubject(subject).WithFields(logrus.Fields{"cause": cause, "server": server}).Warn("subject quarantined")
+	q.logSubject(subject).WithFields(logrus.Fields{"cause": cause, fieldServer: server}).Warn("subject quarantined")
 }
 
 // logSubject returns a logger with a subject.
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -10,8 +10,11 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 )
 
-// fieldRequest is the log field with the id of a request.
-const fieldRequest = "request"
+// fieldRequest and fieldServer are the log fields with the ids of a request and a backend server.
+const (
+	fieldRequest = "request"
+	fieldServer  = "server"
+)
 
 // reportRefusal logs and counts the outcome of a request that was refused before it was sent anywhere.
 func (e *Entry) reportRefusal(request *message.Request, err *fault.Error) {
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -114,7 +114,7 @@
 
 	metric.Count(e.Metrics, "try.refused."+string(refused.Err.Kind))
 	e.Log.WithFields(logrus.Fields{
-		fieldRequest: j.request.ID, "server": server.ID, "arrived": refused.ByBackend, "again": again,
+		fieldRequest: j.request.ID, fieldServer: server.ID, "arrived": refused.ByBackend, "again": again,
 	}).WithError(refused.Err).Info("try refused")
 
 	if !again {
@@ -146,7 +146,7 @@
 
 	metric.Count(e.Metrics, "try.failed."+string(failed.Err.Kind))
 	e.Log.WithFields(logrus.Fields{
-		fieldRequest: j.request.ID, "server": server.ID, "ran": j.runs, "last": j.splitter.LastID, "again": again, "parts": j.sharedParts,
+		fieldRequest: j.request.ID, fieldServer: server.ID, "ran": j.runs, "last": j.splitter.LastID, "again": again, "parts": j.sharedParts,
 		"digest": j.digest(), "ended": j.crash != nil,
 	}).WithError(failed.Err).Info("try failed")
 
--- a/internal/forward/entry/same_server.go
+++ b/internal/forward/entry/same_server.go
@@ -59,7 +59,7 @@
 	}
 
 	metric.Count(e.Metrics, "stream.same_server")
-	e.Log.WithField(fieldRequest, j.request.ID).WithField("server", server.ID).WithField("last", j.splitter.LastID).Info("stream goes on at the server that broke it off")
+	e.Log.WithField(fieldRequest, j.request.ID).WithField(fieldServer, server.ID).WithField("last", j.splitter.LastID).Info("stream goes on at the server that broke it off")
 
 	return server, nil
 }
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -44,7 +44,7 @@
 
 	if info != nil && info.Limit != (throttle.Limit{}) {
 		metric.Count(e.Metrics, "response.limited")
-		e.Log.WithField(fieldRequest, j.request.ID).WithField("server", server.ID).WithField("limit", info.Limit.String()).Info("response names a limit")
+		e.Log.WithField(fieldRequest, j.request.ID).WithField(fieldServer, server.ID).WithField("limit", info.Limit.String()).Info("response names a limit")
 	}
 
 	j.crash = nil
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -277,7 +277,7 @@
 
 func (w *silenceWatch) logSilence(silent error) *logrus.Entry {
 	return w.entry.Log.WithError(silent).WithFields(logrus.Fields{
-		fieldRequest: w.response.job.request.ID, "server": w.server.ID, "begun": w.response.begun, "last": w.response.job.splitter.LastID,
+		fieldRequest: w.response.job.request.ID, fieldServer: w.server.ID, "begun": w.response.begun, "last": w.response.job.splitter.LastID,
 		"version": w.server.Version, "age": time.Since(w.response.job.request.Arrived).Milliseconds(),
 	})
 }
@@ -366,7 +366,7 @@
 	j.returnsTo = silent.ID
 
 	metric.Count(e.Metrics, "silence.returned")
-	e.Log.WithError(err).WithFields(logrus.Fields{fieldRequest: j.request.ID, "server": silent.ID, "last": j.splitter.LastID}).
+	e.Log.WithError(err).WithFields(logrus.Fields{fieldRequest: j.request.ID, fieldServer: silent.ID, "last": j.splitter.LastID}).
 		Info("no server takes over, the silent one may go on")
 
 	return e.choose(ctx, j)
--- a/internal/forward/entry/silence_test.go
+++ b/internal/forward/entry/silence_test.go
@@ -133,7 +133,7 @@
 				}
 
 				gaveUpAfter := time.Since(begunAt)
-				watch.stop()
+				_ = watch.stop()
 
 				if c.want == 0 {
 					assert.Assert(t, !errors.Is(context.Cause(ctx), errServerSilent))
@@ -170,7 +170,7 @@
 		r.job.sink = &slowSink{delay: 2 * time.Second}
 
 		ctx, watch := e.watchSilence(t.Context(), silentServer, r)
-		defer watch.stop()
+		defer func() { _ = watch.stop() }()
 
 		assert.NilError(t, watch.emit(message.RequestSent{}))
 		assert.NilError(t, watch.emit(head(200, "text/event-stream")))
