Give up a silent model server only once another one has been sent the request

Cause: that another server will run a request was still a forecast when the silent one was given up, and the way back is one, too.

Change: while the agent of the silent server is heard, the agent of the other one is asked to run the request, and the silent one is given up only when the other has been sent it; the response then goes on through the send that follows. If the silent server goes on first, the other is taken back; a server that refuses is not asked again. A server that was sent the request counts as a run. Servers of plain services, and those whose agent is silent, are given up as before, with the way back.

Both run the stream together only between the message of the agent and the cancellation, which follows at once.

--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -61,6 +61,8 @@
 	status int
 	// successor is the server for which a silent one was given up, with a retry taken from the budget; nil for none.
 	successor *fleet.Server
+	// handover has the response of the successor if that has been sent the request already; nil if it has not.
+	handover *handover
 	// gaveUp is the silent server that was given up, until another one has begun to run the request or has failed; nil for none.
 	gaveUp *fleet.Server
 	// brokenAt is the server that broke off the stream last and may go on with it if no other can; nil for none. returnsTo is its id once it may
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -51,6 +51,8 @@
 	e.retryBudget.countRequest(time.Now(), j.service.Name, e.Bounds)
 	e.takeUp(ctx, j)
 
+	defer j.dropHandover()
+
 	for {
 		server, err := e.next(ctx, j)
 		if err != nil {
@@ -204,12 +206,17 @@
 	response := newResponse(e, j, server)
 	defer response.kept.Release()
 
+	handover := j.takeHandover(server)
 	watched, watch := e.watchSilence(ctx, server, response)
 
 	var last message.Event
-	if j.service.Engine != nil {
+
+	switch {
+	case handover != nil:
+		last = handover.receive(watched, watch.emit)
+	case j.service.Engine != nil:
 		last = e.relay(watched, j, server, watch.emit)
-	} else {
+	default:
 		last = e.direct(ctx, j, server, watch)
 	}
 
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -38,7 +39,9 @@
 	// readTimeout is how long the server may send nothing once it has the request; 0 if the request may not run once more.
 	readTimeout time.Duration
 	ctx         context.Context //nolint:containedctx // the timer has no context of its own
-	giveUp      context.CancelCauseFunc
+	// parent is the context of the request.
+	parent context.Context //nolint:containedctx // see ctx
+	giveUp context.CancelCauseFunc
 
 	// mu also guards the job of the response until stop.
 	mu sync.Mutex
@@ -46,6 +49,9 @@
 	// is zero before.
 	heardAt, progressAt time.Time
 	body                framing.Body
+	// asked is the handover that is under way; nil for none. refusedBy holds the ids of the servers that did not take over.
+	asked     *handover
+	refusedBy map[string]bool
 	// reported is true once a log line tells that no server can take over.
 	reported bool
 	// stopped is true once the server is given up or the response has ended.
@@ -64,7 +70,8 @@
 func (e *Entry) watchSilence(parent context.Context, server fleet.Server, r *response) (context.Context, *silenceWatch) {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &silenceWatch{
-		entry: e, server: server, response: r, readTimeout: r.job.readTimeout(), ctx: ctx, giveUp: cancel, heardAt: time.Now(),
+		entry: e, server: server, response: r, readTimeout: r.job.readTimeout(), ctx: ctx, parent: parent, giveUp: cancel, heardAt: time.Now(),
+		refusedBy: map[string]bool{},
 	}
 
 	if w.readTimeout > 0 {
@@ -82,6 +89,7 @@
 
 	w.stopped.Store(true)
 	w.giveUp(nil)
+	w.takeBack()
 
 	w.timerMu.Lock()
 	defer w.timerMu.Unlock()
@@ -124,6 +132,10 @@
 func (w *silenceWatch) observe(now time.Time, event message.Event) {
 	w.heardAt = now
 
+	if event != nil {
+		w.takeBack()
+	}
+
 	switch e := event.(type) {
 	case message.RequestSent:
 		w.progressAt = now
@@ -190,7 +202,14 @@
 		return nil, left, nil
 	}
 
-	return w.response.afterGivingUp(w.server), takeoverPeriod, silent
+	if w.asked != nil {
+		return nil, takeoverPeriod, nil
+	}
+
+	next = w.response.afterGivingUp(w.server)
+	maps.Copy(next.excluded, w.refusedBy)
+
+	return next, takeoverPeriod, silent
 }
 
 // arm has the watch look again after the given time.
@@ -220,13 +239,15 @@
 }
 
 // takeOver gives up the server if another one can take the request over and the retry budget allows it, and reports whether it did. The
-// response may have gone on during the search.
+// response may have gone on during the search. If the agent of the server is heard, the other one is asked first.
 func (w *silenceWatch) takeOver(next *job, silent error) bool {
-	successor, refused := w.entry.findSuccessor(w.ctx, next)
-	if refused == nil && errors.Is(silent, errServerSilent) && !w.entry.mayReturn(next, w.server) {
-		refused = errNoReturn
+	asks := next.service.Engine != nil && errors.Is(silent, errServerSilent)
+	if asks {
+		next.gaveUp = nil
 	}
 
+	successor, refused := w.entry.findSuccessor(w.ctx, next)
+
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -244,6 +265,18 @@
 		return false
 	}
 
+	if asks {
+		w.ask(next, successor, silent)
+		return false
+	}
+
+	w.abandon(successor, next, silent)
+
+	return true
+}
+
+// abandon gives up the server for another one.
+func (w *silenceWatch) abandon(successor fleet.Server, next *job, silent error) {
 	j := w.response.job
 	j.successor, j.gaveUp, j.expectedWait = &successor, &w.server, next.expectedWait
 	j.refusals = 0
@@ -253,8 +286,13 @@
 	metric.Count(w.entry.Metrics, "silence.given_up")
 	w.logSilence(silent).WithField("successor", successor.ID).Info("silent server given up")
 	w.giveUp(silent)
+}
 
-	return true
+// takeBack ends a handover that is under way.
+func (w *silenceWatch) takeBack() {
+	if w.asked != nil {
+		w.asked.cancel()
+	}
 }
 
 // reportKept logs once for each send that no server can take over.
--- a/internal/forward/entry/successor.go
+++ b/internal/forward/entry/successor.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,7 +36,6 @@
 	errNoAttemptLeft = fault.New(fault.OutcomeUnknown, "the route allows no further run")
 	errNoRepeat      = fault.New(fault.OutcomeUnknown, "the quarantine allows no further run")
 	errNoRetryLeft   = fault.New(fault.OutcomeUnknown, "the retry budget allows no further run")
-	errNoReturn      = fault.New(fault.OutcomeUnknown, "the silent server takes no request again, should the other one refuse")
 	errNoTakeover    = fault.New(fault.OutcomeUnknown, "the servers that could take over refuse the request")
 )
 
@@ -56,18 +54,6 @@
 	return e.choose(ctx, next)
 }
 
-// mayReturn reports whether a request could go back to a silent model server, whose agent is heard. That another one will run the request is
-// known only once it has begun to.
-func (e *Entry) mayReturn(j *job, silent fleet.Server) bool {
-	if j.service.Engine == nil {
-		return true
-	}
-
-	state, connected := e.Links.State(silent.ID)
-
-	return connected && state.Ready && slices.Contains(e.Fleet.Usable(time.Now(), j.service.Name), silent)
-}
-
 // next returns the server to which the request is sent next: the one for which a silent one was given up, if it is still usable, and the silent
 // one again if no other takes the request over.
 func (e *Entry) next(ctx context.Context, j *job) (fleet.Server, *fault.Error) {
