--- a/internal/forward/entry/handover_test.go
+++ b/internal/forward/entry/handover_test.go
@@ -35,6 +35,24 @@
 	return nil
 }
 
+// serveAgent serves an agent and returns a dialer that connects to it.
+func serveAgent(t *testing.T, agent relay.DRPCRelayServer) conn.Dialer {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	go func() {
+		_ = conn.Serve(t.Context(), listener, func(mux *drpcmux.Mux) error { return relay.DRPCRegisterRelay(mux, agent) })
+	}()
+
+	return func(ctx context.Context, _ string) (net.Conn, error) {
+		var dialer net.Dialer
+
+		return dialer.DialContext(ctx, "tcp", listener.Addr().String())
+	}
+}
+
 // Guards against a silent server that is given up for one that refuses the request, or that is kept when another one has begun to run it (LOST).
 func TestSilentServerIsGivenUpOnceAnotherRunsTheRequest(t *testing.T) {
 	event := message.Data{Bytes: []byte("id: 1\ndata: b\n\n")}
@@ -59,19 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-
-			go func() {
-				_ = conn.Serve(t.Context(), listener, func(mux *drpcmux.Mux) error {
-					return relay.DRPCRegisterRelay(mux, &scriptedAgent{events: c.answer})
-				})
-			}()
-
-			e := testEntry(func(ctx context.Context, _ string) (net.Conn, error) {
-				var dialer net.Dialer
-				return dialer.DialContext(ctx, "tcp", listener.Addr().String())
-			})
+			e := testEntry(serveAgent(t, &scriptedAgent{events: c.answer}))
 
 			j := testJob(catalog.Resumable)
 			sink := &bodySink{}
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// takeoverPeriod is the time between two looks for a server that can take over from a silent one.
+	// takeoverPeriod is the time between two checks for a server that can take over from a silent one.
 	takeoverPeriod = 250 * time.Millisecond
 	// stallMargin is the delay of a timer above which this process has stood still, and may not have read what it has received.
 	stallMargin = 200 * time.Millisecond
@@ -76,7 +76,7 @@
 
 	if w.readTimeout > 0 {
 		wait, _ := w.untilSilent(w.heardAt)
-		w.arm(wait)
+		w.schedule(wait)
 	}
 
 	return ctx, w
@@ -169,19 +169,19 @@
 	return left, err
 }
 
-// look gives up the server if it is silent and another one can take over, and is due again otherwise.
-func (w *silenceWatch) look() {
-	next, wait, silent := w.examine(time.Now())
+// check gives up the server if it is silent and another one can take over, and is due again otherwise.
+func (w *silenceWatch) check() {
+	next, wait, silent := w.assess(time.Now())
 
 	if next != nil && w.takeOver(next, silent) {
 		return
 	}
 
-	w.arm(wait)
+	w.schedule(wait)
 }
 
-// examine returns the request as it would be sent once more, the time until the next look, and who is silent; nil if nobody is.
-func (w *silenceWatch) examine(now time.Time) (next *job, wait time.Duration, silent error) {
+// assess returns the request as it would be sent once more, the time until the next check, and who is silent; nil if nobody is.
+func (w *silenceWatch) assess(now time.Time) (next *job, wait time.Duration, silent error) {
 	// An event that is being passed on to a slow client is no silence.
 	if !w.mu.TryLock() {
 		return nil, takeoverPeriod, nil
@@ -212,8 +212,8 @@
 	return next, takeoverPeriod, silent
 }
 
-// arm has the watch look again after the given time.
-func (w *silenceWatch) arm(wait time.Duration) {
+// schedule has the watch check again after the given time.
+func (w *silenceWatch) schedule(wait time.Duration) {
 	w.timerMu.Lock()
 	defer w.timerMu.Unlock()
 
@@ -224,7 +224,7 @@
 	w.dueAt = time.Now().Add(wait)
 
 	if w.timer == nil {
-		w.timer = time.AfterFunc(wait, w.look)
+		w.timer = time.AfterFunc(wait, w.check)
 	} else {
 		w.timer.Reset(wait)
 	}
--- a/internal/forward/entry/silence_test.go
+++ b/internal/forward/entry/silence_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
@@ -19,7 +18,6 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
-	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -207,19 +205,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-
-			go func() {
-				_ = conn.Serve(t.Context(), listener, func(mux *drpcmux.Mux) error {
-					return relay.DRPCRegisterRelay(mux, &pausingAgent{pause: 2 * time.Second})
-				})
-			}()
-
-			e := testEntry(func(ctx context.Context, _ string) (net.Conn, error) {
-				var dialer net.Dialer
-				return dialer.DialContext(ctx, "tcp", listener.Addr().String())
-			})
+			e := testEntry(serveAgent(t, &pausingAgent{pause: 2 * time.Second}))
 			e.Fleet.Put(silentServer)
 
 			j := testJob(policy)
