Close the metrics port of an agent when it ends

Cause: two tests of one process got the same loopback network at random, and the agent of the earlier one had ended without closing its metrics port, so that the later agent could not listen. With about 150 networks of 60,000 a run, two are the same in about one run of six.

--- a/internal/program/hosted/agent.go
+++ b/internal/program/hosted/agent.go
@@ -28,7 +28,11 @@
 		return err
 	}
 
-	if err := p.serveMetrics(context.WithoutCancel(ctx)); err != nil {
+	// Metrics are served until running requests have completed.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	if err := p.serveMetrics(background); err != nil {
 		return err
 	}
 
