Begin prompts when they hold up no stream that is on time

A server makes no event while it prefills a prompt, and agents began one prompt right after another: 2 to 3 prompts, 4,200 tokens together, within one pause over 0.4 s. Ruled out: the wait in queues and the forwarding, by log lines of the pauses at agents and entries.

Change: requests carry the longest pause of their route, agents estimate the pace of their server (prefill time of a prompt, time between two events, slowness of the moment from the fourth figure of Server-Load, which aged statements no longer are), and a prompt waits for the next events if it would make the pause of a running stream too long.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -109,6 +109,7 @@
 	a.watchers = map[*watcher]bool{}
 	a.Upstream.OnNotice = a.observeNotice
 	a.Upstream.OnLimit = a.observeLimit
+	a.Upstream.OnLoad = a.observeLoad
 
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -189,6 +190,14 @@
 	a.notifyWatchers()
 }
 
+// observeLoad records the load that the model server has stated in a response.
+func (a *Agent) observeLoad(_ string, load upstream.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.scheduler.ObserveSlowness(time.Now(), load.Slowness)
+}
+
 // isResting reports whether the model server has asked to get nothing for a while.
 func (a *Agent) isResting() bool {
 	a.mu.Lock()
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -101,10 +101,13 @@
 	recorder := &beginRecorder{agent: a, delivery: delivery}
 	timeToFirst := time.Duration(0)
 	last, info := a.Upstream.Exchange(ctx, a.Address, delivery, func(event message.Event) error {
-		if _, isData := event.(message.Data); isData && timeToFirst == 0 {
-			timeToFirst = time.Since(started)
-			a.outputStarted(scheduled)
-			a.setProgress(exchange, true)
+		if _, isData := event.(message.Data); isData {
+			if timeToFirst == 0 {
+				timeToFirst = time.Since(started)
+				a.setProgress(exchange, true)
+			}
+
+			a.observeOutput(scheduled)
 		}
 
 		return sender.emit(recorder.observe(event))
@@ -138,6 +141,7 @@
 		Arrived:         arrived,
 		Due:             arrived.Add(delivery.Objective - dueMargin),
 		Expires:         arrived.Add(delivery.MaxWait),
+		GapTarget:       delivery.GapTarget,
 	}
 }
 
@@ -166,13 +170,17 @@
 	return nil, nil //nolint:nilnil // neither a refusal nor an error: the request may start
 }
 
-// outputStarted tells the scheduler that the model server has sent the first output of the request.
-func (a *Agent) outputStarted(scheduled *schedule.Request) {
+// observeOutput tells the scheduler that the model server has sent output of the request.
+func (a *Agent) observeOutput(scheduled *schedule.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	a.scheduler.OutputStarted(scheduled)
-	a.dispatch()
+	now := time.Now()
+	prefilled := a.scheduler.ObserveEvent(now, scheduled)
+
+	if prefilled || a.scheduler.Held() {
+		a.dispatch()
+	}
 }
 
 // finish removes the request from the scheduler.
--- a/internal/forward/convert/convert.go
+++ b/internal/forward/convert/convert.go
@@ -41,6 +41,7 @@
 		StartMs:     d.StartedAt,
 		Bound:       d.Bound,
 		Stream:      d.Stream,
+		GapMs:       d.GapTarget.Milliseconds(),
 	}
 }
 
@@ -76,6 +77,7 @@
 		StartedAt:     r.GetStartMs(),
 		Bound:         r.GetBound(),
 		Stream:        r.GetStream(),
+		GapTarget:     milliseconds(r.GetGapMs()),
 	}
 }
 
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -165,6 +165,7 @@
 		MinVersion:  version,
 		Deadline:    j.deadline,
 		Objective:   j.route.Objective,
+		GapTarget:   j.route.GapTarget,
 		MaxWait:     j.maxWait(),
 		Urgency:     j.urgency,
 		SharedParts: j.sharedParts,
--- a/internal/forward/message/message.go
+++ b/internal/forward/message/message.go
@@ -82,6 +82,8 @@
 	Deadline time.Time
 	// Objective is the latency target for the response, or for the first event of a stream.
 	Objective time.Duration
+	// GapTarget is the longest time between two events for which a stream is on time; 0 for none.
+	GapTarget time.Duration
 	// ReadTimeout bounds the wait for the response head and for each piece of the body; 0 means no limit. Only entries with earlier software
 	// set it: later ones decide themselves whether a silent server is given up.
 	ReadTimeout time.Duration
--- /dev/null
+++ b/internal/forward/pace/pace.go
@@ -0,0 +1,126 @@
+// Package pace estimates how fast one model server works: how long it takes to prefill a prompt, and how long its streams take from one event
+// to the next. Servers share their VMs with others, so that they differ for good, and each may be slow for moments.
+package pace
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Usual is the slowness of a server that works as fast as usual, in percent.
+	Usual = 100
+	// freshTime is how long a statement of the slowness counts in full, and staleTime when it no longer counts. Moments of slowness last for
+	// about half a second, so that an older statement tells less than what is usual.
+	freshTime = 100 * time.Millisecond
+	staleTime = 500 * time.Millisecond
+	// statementCount is the number of statements whose lowest is what is usual for the server.
+	statementCount = 16
+	// averageShare is the weight of one more observation in an average.
+	averageShare = 0.1
+	// minPromptTokens is the size below which a prompt tells little about the speed of prefill.
+	minPromptTokens = 200
+	// prefillOverhead is the time from the send of a request to its first event that does not depend on the prompt: about one step of the
+	// server. It is added to the time of the prompt.
+	prefillOverhead = 12 * time.Millisecond
+	// defaultTokenTime is the prefill time of one prompt token, and defaultEventTime the time between two events, as long as nothing is known.
+	defaultTokenTime = 50 * time.Microsecond
+	defaultEventTime = 50 * time.Millisecond
+)
+
+// Estimator estimates the pace of one server. The zero value is ready to use. It is not safe for concurrent use.
+type Estimator struct {
+	// tokenTime and eventTime are averages at the usual slowness of 100 percent; 0 as long as nothing was observed.
+	tokenTime, eventTime time.Duration
+	// statements are the latest ones of the slowness in percent, and statedAt is when the last one was made.
+	statements []int
+	statedAt   time.Time
+}
+
+// ObserveSlowness records a statement of the server: how long work takes at this moment in percent of what is usual for servers of its kind.
+func (e *Estimator) ObserveSlowness(now time.Time, percent int) {
+	if percent <= 0 {
+		return
+	}
+
+	if len(e.statements) == statementCount {
+		e.statements = slices.Delete(e.statements, 0, 1)
+	}
+
+	e.statements = append(e.statements, percent)
+	e.statedAt = now
+}
+
+// ObservePrefill records the time from the send of a request to its first event.
+func (e *Estimator) ObservePrefill(now time.Time, tokens int64, took time.Duration) {
+	if tokens < minPromptTokens || took <= prefillOverhead {
+		return
+	}
+
+	e.tokenTime = average(e.tokenTime, e.normalize(now, took-prefillOverhead)/time.Duration(tokens))
+}
+
+// ObserveEvent records the time between two events of a stream in which the server prefilled no prompt.
+func (e *Estimator) ObserveEvent(now time.Time, took time.Duration) {
+	e.eventTime = average(e.eventTime, e.normalize(now, took))
+}
+
+// Slowness returns how long work is expected to take now, in percent of what is usual for servers of its kind.
+func (e *Estimator) Slowness(now time.Time) int {
+	if len(e.statements) == 0 {
+		return Usual
+	}
+
+	return Age(e.statements[len(e.statements)-1], slices.Min(e.statements), now.Sub(e.statedAt))
+}
+
+// Age returns the slowness that is expected from a statement of the given age, if the server is usually as slow as stated by usual.
+func Age(stated, usual int, age time.Duration) int {
+	switch {
+	case age <= freshTime:
+		return stated
+	case age >= staleTime:
+		return usual
+	}
+
+	share := float64(staleTime-age) / float64(staleTime-freshTime)
+
+	return usual + int(share*float64(stated-usual))
+}
+
+// PrefillTime returns the expected time from the send of a request with a prompt of the given size to its first event.
+func (e *Estimator) PrefillTime(now time.Time, tokens int64) time.Duration {
+	perToken := e.tokenTime
+	if perToken == 0 {
+		perToken = defaultTokenTime
+	}
+
+	return e.scale(now, time.Duration(tokens)*perToken+prefillOverhead)
+}
+
+// EventTime returns the expected time between two events of a stream while no prompt is prefilled.
+func (e *Estimator) EventTime(now time.Time) time.Duration {
+	if e.eventTime == 0 {
+		return e.scale(now, defaultEventTime)
+	}
+
+	return e.scale(now, e.eventTime)
+}
+
+// scale returns the time that work takes now that takes the given time at the usual pace.
+func (e *Estimator) scale(now time.Time, at time.Duration) time.Duration {
+	return at * time.Duration(e.Slowness(now)) / Usual
+}
+
+// normalize is the reverse of scale.
+func (e *Estimator) normalize(now time.Time, took time.Duration) time.Duration {
+	return took * Usual / time.Duration(e.Slowness(now))
+}
+
+func average(known, observed time.Duration) time.Duration {
+	if known == 0 {
+		return observed
+	}
+
+	return known + time.Duration(averageShare*float64(observed-known))
+}
--- /dev/null
+++ b/internal/forward/pace/pace_test.go
@@ -0,0 +1,77 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/pace"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// Guards against a statement that counts for too long: a server that gets no work cannot say that it is well again.
+func TestStatementsAge(t *testing.T) {
+	cases := map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"fresh":   {age: 50 * time.Millisecond, want: 250},
+		"halfway": {age: 300 * time.Millisecond, want: 175},
+		"stale":   {age: time.Second, want: 100},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var e pace.Estimator
+
+			e.ObserveSlowness(start.Add(-time.Second), 100)
+			e.ObserveSlowness(start, 250)
+			assert.Equal(t, e.Slowness(start.Add(c.age)), c.want)
+		})
+	}
+}
+
+// Guards against an estimate that takes a moment of slowness for the usual speed of the server, and against one that forgets that a server is
+// slow for good.
+func TestPrefillTime(t *testing.T) {
+	const tokens = 2000
+
+	cases := map[string]struct {
+		stated []int
+		now    int
+		want   time.Duration
+	}{
+		"as usual":        {stated: []int{100, 100, 100}, now: 100, want: 112 * time.Millisecond},
+		"slow now":        {stated: []int{100, 100, 100}, now: 250, want: 280 * time.Millisecond},
+		"slow for good":   {stated: []int{130, 130, 130}, now: 130, want: 145 * time.Millisecond},
+		"nothing stated":  {stated: []int{0, 0, 0}, now: 0, want: 112 * time.Millisecond},
+		"slow moments":    {stated: []int{100, 250, 250}, now: 100, want: 112 * time.Millisecond},
+		"no true figures": {stated: []int{-5, 0, -1}, now: 0, want: 112 * time.Millisecond},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var e pace.Estimator
+
+			at := start
+
+			for _, percent := range append(c.stated, c.now) {
+				at = at.Add(time.Second)
+				e.ObserveSlowness(at, percent)
+
+				// The server takes 50 µs for a token and 12 ms for a step.
+				took := 112 * time.Millisecond * time.Duration(max(percent, 0)) / 100
+				if percent <= 0 {
+					took = 112 * time.Millisecond
+				}
+
+				e.ObservePrefill(at, tokens, took)
+			}
+
+			got := e.PrefillTime(at, tokens)
+			assert.Assert(t, got > c.want*9/10 && got < c.want*11/10, "%s, want about %s", got, c.want)
+		})
+	}
+}
--- a/internal/forward/schedule/policy.go
+++ b/internal/forward/schedule/policy.go
@@ -11,6 +11,8 @@
 	MaxFetches int
 	// KeepArrivalOrder leaves requests that can no longer be on time in their order of arrival.
 	KeepArrivalOrder bool
+	// IgnoreGaps starts requests although their prefill makes the pauses between the events of running streams too long.
+	IgnoreGaps bool
 }
 
 // DefaultPolicy is the policy of agents.
--- a/internal/forward/schedule/request.go
+++ b/internal/forward/schedule/request.go
@@ -29,8 +29,14 @@
 	Due time.Time
 	// Expires is the latest time at which the request may start; it is refused afterwards.
 	Expires time.Time
+	// GapTarget is the longest time between two events for which the stream is on time; 0 for none.
+	GapTarget time.Duration
 
 	phase phase
+	// sentAt is when the request was sent to the server, and lastEvent when its last event came; lastEvent is zero before the first one.
+	sentAt, lastEvent time.Time
+	// late is true once the first event came after it was due, or two events were further apart than GapTarget.
+	late bool
 }
 
 type phase int
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/invariant"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/pace"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 )
 
@@ -39,6 +40,15 @@
 	// reachable is true if the server answered the last call for its report.
 	reachable bool
 	queue     []*Request
+	// active holds the requests at the server.
+	active map[*Request]bool
+	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
+	pace       pace.Estimator
+	prefillEnd time.Time
+	// held is true if a request waits only so that it does not hold up streams, as of the last dispatch, and heldUntil when that is looked
+	// at again without an event.
+	held      bool
+	heldUntil time.Time
 	adapters  map[Adapter]*adapterState
 	// cached holds the adapters that are assumed to be in the server's cache with the time of their last load or use.
 	cached map[Adapter]time.Time
@@ -180,6 +190,8 @@
 }
 
 func (s *Scheduler) release(request *Request) {
+	delete(s.active, request)
+
 	s.running--
 	s.usedTokens -= request.InputTokens + request.MaxOutputTokens
 
@@ -190,14 +202,6 @@
 	}
 }
 
-// OutputStarted records the first output of a request, which ends its prefill.
-func (s *Scheduler) OutputStarted(request *Request) {
-	if request.phase == prefilling {
-		request.phase = decoding
-		s.endPrefill(request)
-	}
-}
-
 func (s *Scheduler) endPrefill(request *Request) {
 	s.prefilling--
 	s.prefillTokens -= request.InputTokens
@@ -209,6 +213,7 @@
 	var actions []Action
 
 	s.resting = s.notices.RestLeft(now) > 0
+	s.held = false
 	// kept counts the requests that stay in the queue.
 	kept := 0
 
@@ -220,7 +225,7 @@
 			continue
 		}
 
-		if s.hasCapacity(now, request) && s.isLoaded(request) && s.limiter.Take(now, 0) {
+		if s.hasCapacity(now, request) && s.isLoaded(request) && !s.holdsUpStreams(now, request) && s.limiter.Take(now, 0) {
 			s.start(now, request)
 			actions = append(actions, Start{Request: request})
 
@@ -335,6 +340,13 @@
 	s.prefillTokens += request.InputTokens
 	s.usedTokens += request.InputTokens + request.MaxOutputTokens
 	request.phase = prefilling
+	request.sentAt = now
+
+	if s.active == nil {
+		s.active = map[*Request]bool{}
+	}
+
+	s.active[request] = true
 
 	invariant.Check(s.running <= max(s.limits.Slots, 1), "schedule.slots", "%d requests run on %d slots", s.running, s.limits.Slots)
 	invariant.Check(s.prefilling <= s.policy().MaxPrefills, "schedule.readers", "%d prompts are prefilled at once", s.prefilling)
@@ -369,6 +381,12 @@
 		next = s.limitedUntil
 	}
 
+	if s.held {
+		if retry := s.heldUntil; retry.Before(next) {
+			next = retry
+		}
+	}
+
 	if s.resting && (next.IsZero() || s.notices.Until().Before(next)) {
 		next = s.notices.Until()
 	}
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -164,7 +164,7 @@
 				running := request(name, start)
 				s.Add(running)
 				assert.Equal(t, len(started(s.Dispatch(start))), 1)
-				s.OutputStarted(running)
+				s.ObserveEvent(start, running)
 			}
 
 			s.Add(request("new", start))
@@ -249,7 +249,7 @@
 	assert.Equal(t, len(first), 1)
 	assert.Equal(t, len(started(s.Dispatch(start))), 0)
 
-	s.OutputStarted(first[0])
+	s.ObserveEvent(start, first[0])
 	assert.Equal(t, len(started(s.Dispatch(start))), 1)
 }
 
@@ -264,7 +264,7 @@
 		for _, begun := range started(s.Dispatch(at)) {
 			count++
 
-			s.OutputStarted(begun)
+			s.ObserveEvent(at, begun)
 			s.Remove(begun)
 		}
 	}
@@ -330,7 +330,7 @@
 	assert.Equal(t, len(first), 1)
 	assert.Assert(t, first[0] == urgent)
 
-	s.OutputStarted(urgent)
+	s.ObserveEvent(start.Add(3*time.Millisecond), urgent)
 
 	second := started(s.Dispatch(start.Add(4 * time.Millisecond)))
 	assert.Equal(t, len(second), 1)
--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -49,6 +49,8 @@
 	// OnLimit is called with what each response of the backend server states about its limit, also if it names none, and with the time
 	// at which the request was sent. A rejection that names no limit states nothing. It may be nil.
 	OnLimit func(instance string, sentAt time.Time, limit throttle.Limit)
+	// OnLoad is called with the load that each response of the backend server states; may be nil.
+	OnLoad func(instance string, load Load)
 	// VerifyEnds has the client open a connection after each response whose end is marked only by that of its connection, to find out
 	// whether the server has ended. Such a response counts as broken off.
 	VerifyEnds bool
--- a/internal/forward/upstream/codec.go
+++ b/internal/forward/upstream/codec.go
@@ -58,6 +58,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work takes at the server at this moment, in percent of what is usual; 0 if it is not stated.
+	Slowness int
 }
 
 // Ended reports whether the server closed the connection of the request before the response was known to be complete.
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -237,6 +237,10 @@
 
 	x.passNotice()
 	x.passLimit()
+
+	if x.client.OnLoad != nil && x.info.Load != nil {
+		x.client.OnLoad(x.delivery.Instance, *x.info.Load)
+	}
 }
 
 // passNotice passes the notice of the response to the client's receiver.
--- a/internal/measure/play/server.go
+++ b/internal/measure/play/server.go
@@ -108,7 +108,7 @@
 
 	c.firstOutput = s.clock.now
 	s.running[c] = true
-	s.scheduler.OutputStarted(scheduled)
+	s.scheduler.ObserveEvent(s.clock.now, scheduled)
 	s.runScheduler()
 	s.clock.after(time.Duration(scheduled.MaxOutputTokens)*s.decodeStep(), func() { s.completeRequest(scheduled, c) })
 }
