Tell late first events, pauses of servers and late forwarding apart

Cause: a late stream showed neither in the log nor in the metrics, and its cause was known only from trials with additional log lines.

Change: the entry records for each batch of whole events when it was received and when its write to the client ended, and the agent when it came. Both log the longest pause as gap, the entry logs the objective as well. A completed stream of a route with targets counts once, as stream.ontime, stream.late.first, stream.late.gap or stream.late.forward. The time between the end of a write and the next event, less the time for which the process stood still, is taken as the pause of the server; what exceeds a target beyond it is late forwarding.

Ruled out: the time between two receptions, since an event that arrives during a slow write is received after it; and a clock in the events of agents, which agents of the previous version lack.

--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -99,9 +99,12 @@
 	a.setProgress(exchange, false)
 
 	recorder := &beginRecorder{agent: a, delivery: delivery}
+	pauses := &pauseMeter{}
 	timeToFirst := time.Duration(0)
 	last, info := a.Upstream.Exchange(ctx, a.Address, delivery, func(event message.Event) error {
-		if _, isData := event.(message.Data); isData {
+		if data, isData := event.(message.Data); isData {
+			pauses.observe(time.Now(), data.Bytes)
+
 			if timeToFirst == 0 {
 				timeToFirst = time.Since(started)
 				a.setProgress(exchange, true)
@@ -114,7 +117,7 @@
 	})
 
 	a.reportExchange(delivery, exchangeReport{
-		waited: started.Sub(arrived), timeToFirst: timeToFirst, took: time.Since(started), info: info, last: last,
+		waited: started.Sub(arrived), timeToFirst: timeToFirst, took: time.Since(started), gap: pauses.longest, info: info, last: last,
 	})
 
 	if info != nil && info.Ended() {
--- a/internal/forward/agent/report.go
+++ b/internal/forward/agent/report.go
@@ -18,6 +18,8 @@
 	// waited is the time until the request was sent, and timeToFirst that from then on to the first output; 0 without output. took is
 	// the time from then on to the outcome.
 	waited, timeToFirst, took time.Duration
+	// gap is the longest pause between two whole events of a stream.
+	gap time.Duration
 	// info is the head of the response; nil if the request was not sent, and without a framing if there was no head.
 	info *upstream.ResponseInfo
 	// last is the outcome.
@@ -29,7 +31,7 @@
 	entry := a.Log.WithFields(logrus.Fields{
 		"request": delivery.ID, "adapter": delivery.Adapter, "version": delivery.MinVersion, "instance": delivery.Instance,
 		"waited": report.waited.Milliseconds(), "first": report.timeToFirst.Milliseconds(), "took": report.took.Milliseconds(),
-		"patience": delivery.MaxWait.Milliseconds(),
+		"gap": report.gap.Milliseconds(), "patience": delivery.MaxWait.Milliseconds(),
 	})
 
 	if report.info != nil && report.info.Framing != "" {
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
+	"github.com/chestnutbeam/chestnutbeam/internal/core/stall"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
@@ -95,6 +96,8 @@
 	Entries func() int
 	// StartedAt is when the process started.
 	StartedAt time.Time
+	// Standstill measures for how long the process stands still. Its Run is called by the owner of the entry.
+	Standstill stall.Meter
 
 	config      atomic.Pointer[catalog.Config]
 	drain       drain
@@ -205,6 +208,7 @@
 	}
 
 	j.sink = sink
+	j.lateness.Begin(request.Arrived, e.Standstill.Total(time.Now()))
 
 	if j.route.RetryPolicy == catalog.AtMostOnce && !e.attempts.begin(time.Now(), request.ID, j.deadline) {
 		err := fault.New(fault.OutcomeUnknown, "a request with the same id has been received")
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -6,6 +6,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/lateness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
@@ -73,6 +74,8 @@
 	// the request to the first piece of the response body; 0 before it.
 	expectedWait time.Duration
 	timeToFirst  time.Duration
+	// lateness records when the events of the response were received and written.
+	lateness lateness.Stream
 	// drain is why the request was taken although the process was draining.
 	drain drainDecision
 	// startBy is when the request must have been started at a server, so that it ends before the process as forecast; zero for no limit.
@@ -94,7 +97,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 
-	return &job{
+	j := &job{
 		request:  request,
 		route:    route,
 		config:   config,
@@ -107,6 +110,10 @@
 		active:      &activeRequest{request: request, route: route.Name, ground: groundNone},
 		sharedParts: quarantine.SharedParts(request.PromptParts),
 	}
+
+	j.lateness.Begin(request.Arrived, 0)
+
+	return j
 }
 
 // digest returns the digest of the request.
--- a/internal/forward/entry/report.go
+++ b/internal/forward/entry/report.go
@@ -48,9 +48,11 @@
 		"adapter": j.request.Adapter, "config": j.config.Version, "age": age.Milliseconds(), "servers": j.servers,
 		"expected": j.expectedWait.Milliseconds(), "first": j.timeToFirst.Milliseconds(), "took": took.Milliseconds(),
 		"last": j.splitter.LastID, "status": j.status,
+		"gap": j.lateness.LongestGap().Milliseconds(), "objective": j.route.Objective.Milliseconds(),
 	})
 
 	if err == nil {
+		e.countLateness(j)
 		metric.Count(e.Metrics, "request.done")
 		metric.Observe(e.Metrics, "latency.whole", took)
 		entry.Info("request done")
--- a/internal/forward/entry/response.go
+++ b/internal/forward/entry/response.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/events"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/lateness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 )
 
@@ -127,6 +128,8 @@
 }
 
 func (r *response) handleData(data []byte) error {
+	received := time.Now()
+
 	if r.withheld {
 		r.withheldBytes += len(data)
 
@@ -168,6 +171,9 @@
 		return errClientDisconnected
 	}
 
+	written := time.Now()
+	r.job.lateness.Observe(lateness.Event{Received: received, Written: written, Stood: r.entry.Standstill.Total(written)})
+
 	return nil
 }
 
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -141,6 +141,7 @@
 	go p.stalls.Run(ctx)
 	go pulse.Run(ctx)
 	go server.SyncLinks(ctx)
+	go server.Standstill.Run(ctx)
 	go (&roster.Roster{Store: store, Name: settings.VM, Alone: server.WithoutAgents, OnCount: server.Links.HearEntries, Log: p.log}).Run(ctx)
 	go (&watch.Watcher{
 		Source: store, Topic: watch.Operator, Wait: operator.MaxAge / readsPerMaxAge, Target: server, Fleet: servers, Progress: operator, Log: p.log,
