Send the pace of model servers to entries

Cause: entries knew nothing of the pace of a server, and took each for one that prefills 20 tokens in a millisecond.

Change: the state of an agent has the usual rate of prefill, in which a server that is slow for good has a low one, and the latest statement of the slowness with its age, relative to what is usual for the server. A changed slowness is sent as a changed load is, within the shortest interval; the rate is an average and goes with the next message. Entries read them; an agent of the previous version states neither, and its server counts as one of the usual pace.

Ruled out: sending the slowness of the moment without its age, since messages are 80 to 300 ms apart and the figure halves within that time.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -196,6 +196,10 @@
 	defer a.mu.Unlock()
 
 	a.scheduler.ObserveSlowness(time.Now(), load.Slowness)
+
+	for w := range a.watchers {
+		notify(w.changed)
+	}
 }
 
 // isResting reports whether the model server has asked to get nothing for a while.
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -29,6 +29,9 @@
 		Reader:     w.reader,
 		DelayMs:    state.StartDelay.Milliseconds(),
 		SpacingMs:  state.StartSpacing.Milliseconds(),
+		Rate:       state.Rate,
+		Slowness:   int32(state.Slowness),
+		SlowAgeMs:  state.SlownessAge.Milliseconds(),
 
 		EvidenceUnchanged: unchanged.Evidence,
 		LimitsUnchanged:   unchanged.Limits,
--- a/internal/forward/link/state.go
+++ b/internal/forward/link/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/pace"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -31,6 +32,11 @@
 	// between two; both are 0 without a limit.
 	StartDelay   time.Duration
 	StartSpacing time.Duration
+	// Rate is how many prompt tokens the server usually prefills in a second; 0 if it is not known.
+	Rate float64
+	// Slowness is how long work took at the server at SlownessAt, in percent of what is usual for it; 0 if it is not known.
+	Slowness   int
+	SlownessAt time.Time
 	// Entries is the number of entries that are connected to the agent.
 	Entries int
 	// Reader is true if this entry is to watch the store for others.
@@ -40,6 +46,15 @@
 	SentTokens int64
 }
 
+// SlownessNow returns how long work is expected to take at the server, in percent of what is usual for it.
+func (s *State) SlownessNow(now time.Time) int {
+	if s.Slowness <= 0 {
+		return pace.Usual
+	}
+
+	return pace.Age(s.Slowness, pace.Usual, now.Sub(s.SlownessAt))
+}
+
 // State returns the last state that the agent of a server reported; false if it is not connected.
 func (l *Links) State(id string) (State, bool) {
 	l.mu.Lock()
@@ -65,6 +80,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	now := time.Now()
 	state := State{
 		Ready:            from.GetReady() && !from.GetLeaving(),
 		Running:          int(from.GetRunning()),
@@ -75,6 +91,9 @@
 		Reader:           from.GetReader(),
 		StartDelay:       time.Duration(from.GetDelayMs()) * time.Millisecond,
 		StartSpacing:     time.Duration(from.GetSpacingMs()) * time.Millisecond,
+		Rate:             from.GetRate(),
+		Slowness:         int(from.GetSlowness()),
+		SlownessAt:       now.Add(-time.Duration(from.GetSlowAgeMs()) * time.Millisecond),
 	}
 
 	if from.GetUnchanged() {
@@ -87,7 +106,7 @@
 		l.Log.WithField("server", agent.id).WithField("ready", state.Ready).Info("agent in touch")
 	}
 
-	l.entries.Hear(time.Now(), state.Entries)
+	l.entries.Hear(now, state.Entries)
 
 	roleChanged := !agent.connected || agent.state.Reader != state.Reader
 	agent.connected = true
--- a/internal/forward/pace/pace.go
+++ b/internal/forward/pace/pace.go
@@ -71,7 +71,7 @@
 		return Usual
 	}
 
-	return Age(e.statements[len(e.statements)-1], slices.Min(e.statements), now.Sub(e.statedAt))
+	return Age(e.statements[len(e.statements)-1], e.usual(), now.Sub(e.statedAt))
 }
 
 // Age returns the slowness that is expected from a statement of the given age, if the server is usually as slow as stated by usual.
@@ -88,6 +88,36 @@
 	return usual + int(share*float64(stated-usual))
 }
 
+// Rate returns how many prompt tokens the server usually prefills in a second; 0 if none was observed. A server that is slow for good has a low
+// rate.
+func (e *Estimator) Rate() float64 {
+	if e.tokenTime == 0 {
+		return 0
+	}
+
+	return float64(time.Second) / float64(e.tokenTime) * Usual / float64(e.usual())
+}
+
+// Stated returns the latest statement of the slowness, in percent of what is usual for this server, and its age; 0 if there is none.
+func (e *Estimator) Stated(now time.Time) (percent int, age time.Duration) {
+	if len(e.statements) == 0 {
+		return 0, 0
+	}
+
+	latest := e.statements[len(e.statements)-1]
+
+	return max(latest*Usual/e.usual(), 1), now.Sub(e.statedAt)
+}
+
+// usual returns the slowness that is usual for the server, in percent of what is usual for servers of its kind.
+func (e *Estimator) usual() int {
+	if len(e.statements) == 0 {
+		return Usual
+	}
+
+	return slices.Min(e.statements)
+}
+
 // PrefillTime returns the expected time from the send of a request with a prompt of the given size to its first event.
 func (e *Estimator) PrefillTime(now time.Time, tokens int64) time.Duration {
 	perToken := e.tokenTime
--- a/internal/forward/pace/pace_test.go
+++ b/internal/forward/pace/pace_test.go
@@ -75,3 +75,45 @@
 		})
 	}
 }
+
+// Guards against entries that take a server which is slow for good for a fast one, or one that is slow for a moment for one that is slow for good.
+func TestRateAndStatement(t *testing.T) {
+	const tokens = 2000
+
+	cases := map[string]struct {
+		stated   []int
+		rate     float64
+		slowness int
+	}{
+		"as usual":      {stated: []int{100, 100}, rate: 20_000, slowness: 100},
+		"slow now":      {stated: []int{100, 250}, rate: 20_000, slowness: 250},
+		"slow for good": {stated: []int{200, 200}, rate: 10_000, slowness: 100},
+		"slower still":  {stated: []int{200, 500}, rate: 10_000, slowness: 250},
+		"not stated":    {rate: 20_000},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var e pace.Estimator
+
+			assert.Equal(t, e.Rate(), 0.0, "nothing observed")
+
+			at := start
+			for _, percent := range c.stated {
+				at = at.Add(time.Second)
+				e.ObserveSlowness(at, percent)
+				e.ObservePrefill(at, tokens, 12*time.Millisecond+100*time.Millisecond*time.Duration(percent)/100)
+			}
+
+			if len(c.stated) == 0 {
+				e.ObservePrefill(at, tokens, 112*time.Millisecond)
+			}
+
+			assert.Assert(t, e.Rate() > c.rate*0.9 && e.Rate() < c.rate*1.1, "%f, want about %f", e.Rate(), c.rate)
+
+			slowness, age := e.Stated(at.Add(40 * time.Millisecond))
+			assert.Equal(t, slowness, c.slowness)
+			assert.Equal(t, age > 0, len(c.stated) > 0)
+		})
+	}
+}
--- a/internal/forward/publish/publish.go
+++ b/internal/forward/publish/publish.go
@@ -112,7 +112,8 @@
 	return slices.Equal(one.Models, other.Models) && slices.Equal(one.Adapters, other.Adapters)
 }
 
+// sameLoad leaves the rate out: it is an average, and goes with the next message.
 func sameLoad(one, other *schedule.State) bool {
 	return one.Running == other.Running && one.Backlog == other.Backlog &&
-		one.Fetches == other.Fetches && one.IdleAdapterSlots == other.IdleAdapterSlots
+		one.Fetches == other.Fetches && one.IdleAdapterSlots == other.IdleAdapterSlots && one.Slowness == other.Slowness
 }
--- a/internal/forward/publish/publish_test.go
+++ b/internal/forward/publish/publish_test.go
@@ -153,3 +153,23 @@
 	assert.Assert(t, publisher.Wait(now, content, 3) > 0)
 	assert.Assert(t, publisher.Record(now, content).Evidence, "only the load changed")
 }
+
+// Guards against entries that choose a server which has become slow, because the message about it waits for the longest interval, and against a
+// message at once for each statement of a server.
+func TestSlownessIsAChangeOfTheLoad(t *testing.T) {
+	const entries = 5
+
+	var publisher publish.Publisher
+
+	now := time.Unix(1000, 0)
+	content := publish.Content{State: schedule.State{Ready: true, Slowness: 100, SlownessAge: 10 * time.Millisecond, Rate: 20_000}}
+	shortest, longest := publish.Intervals(entries)
+
+	publisher.Record(now, content)
+
+	content.State.Rate, content.State.SlownessAge = 21_000, time.Second
+	assert.Equal(t, publisher.Wait(now, content, entries), longest, "the averages changed")
+
+	content.State.Slowness = 250
+	assert.Equal(t, publisher.Wait(now, content, entries), shortest, "the server became slow")
+}
--- a/internal/forward/schedule/state.go
+++ b/internal/forward/schedule/state.go
@@ -26,6 +26,12 @@
 	// time between two; both are 0 without a limit.
 	StartDelay   time.Duration
 	StartSpacing time.Duration
+	// Rate is how many prompt tokens the server usually prefills in a second; 0 if it is not known.
+	Rate float64
+	// Slowness is how long work took at the latest statement of the server, in percent of what is usual for it, and SlownessAge the age of
+	// that statement; Slowness is 0 if there is none.
+	Slowness    int
+	SlownessAge time.Duration
 }
 
 // HeldAdapter is an adapter that the server holds or will hold.
@@ -51,8 +57,11 @@
 		IdleAdapterSlots: s.limits.AdapterSlots,
 		StartDelay:       s.limiter.Wait(now, len(s.queue)),
 		StartSpacing:     s.limiter.Spacing(),
+		Rate:             s.pace.Rate(),
 	}
 
+	state.Slowness, state.SlownessAge = s.pace.Stated(now)
+
 	state.Backlog = s.prefillTokens
 	awaited := map[Adapter]bool{}
 
