Choose model servers by their own pace

Cause: the expected wait at each server was its backlog at 20 tokens in a millisecond, also where a third of the servers are slow for good and each is slow for moments, and the prefill of the request itself did not count.

Change: the work ahead and the prompt itself are weighed by the rate of the server and by its slowness, aged at the time of the choice. A prompt whose prefill leaves no room for two events within the longest pause of its route costs more, the more streams the server runs, up to the shortest target of a first event. The wait that decides about a refusal is still that until the start. What this entry has sent since the state of a server counts for half of it once more for each other entry.

The choice no longer sorts all servers: the cost at rank 1 rules out most of them, and the ranks of the rest are counted.

Ruled out: a cache of scores by adapter, since the list of usable servers has no stable order and a look-up by id costs as much as the hash. The preferred servers of adapters would change with a hash that needs less.

Result: tests of the choice by pace; a comparison with the full ranking; in virtual time, 8 to 30 entries with states of 80 to 300 ms do not herd to the fastest servers (fails if the requests of the own entry are not counted).

--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -59,7 +59,10 @@
 			ID:               server.ID,
 			Domain:           server.Domain,
 			Residency:        residency(&state, name, version),
-			Backlog:          state.Backlog + state.SentTokens,
+			Backlog:          state.Backlog,
+			Sent:             state.SentTokens,
+			Rate:             state.Rate,
+			Slowness:         state.SlownessNow(now),
 			Running:          state.Running + state.Sent,
 			Fetches:          state.Fetches,
 			IdleAdapterSlots: idleAdapterSlots(&state, name),
@@ -68,7 +71,10 @@
 		})
 	}
 
-	at, wait := place.Choose(place.Query{Adapter: j.rankingKey(), Domain: e.Domain}, candidates)
+	query := place.Query{
+		Adapter: j.rankingKey(), Domain: e.Domain, PromptTokens: j.request.PromptTokens, MaxGap: j.route.GapTarget, Entries: e.Entries(),
+	}
+	at, wait := place.Choose(query, candidates)
 	refused := refuse.CheckModelRequest(refuse.Candidate{
 		ID: j.request.ID, Found: at >= 0, ExpectedWait: wait, ModelLoading: modelLoading, MaxWait: j.maxWait(), Objective: j.route.Objective,
 	})
--- a/internal/forward/place/place.go
+++ b/internal/forward/place/place.go
@@ -3,17 +3,25 @@
 // adapters are loaded at further servers.
 package place
 
-import (
-	"cmp"
-	"slices"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
-	// prefillRate is the expected prefill speed of a server, in tokens per millisecond.
-	prefillRate = 20
+	// defaultRate is the prefill speed in tokens per second of a server whose own is not known.
+	defaultRate = 20_000
+	// usualSlowness is that of a server that works as fast as it usually does, in percent.
+	usualSlowness = 100
+	// othersShare is the part of the work that this entry has sent to a server since its last state that each other entry is expected to have
+	// sent there as well: entries choose from the same states, but for different adapters. Without it, all of them send to the one fastest
+	// server until its state shows their work.
+	othersShare = 0.5
+	// eventReserve is the time that a pause of the length of a prefill needs besides it, at the usual pace: streams have about two events around
+	// it, 50 ms each.
+	eventReserve = 100 * time.Millisecond
+	// stallCost is the cost of each stream at a server for a prompt whose prefill takes longer than the pause that streams allow. It makes
+	// them late, or waits until they have ended; an agent lets it wait for no longer than its own first event is on time, which takes at
+	// least maxStallCost.
+	stallCost    = 100 * time.Millisecond
+	maxStallCost = 800 * time.Millisecond
 	// loadInProgressCost is the expected wait for an adapter that is already being loaded.
 	loadInProgressCost = 120 * time.Millisecond
 	// preferredLoadCost is the expected cost of a load at the preferred server of an adapter, which likely has the weights in
@@ -61,8 +69,14 @@
 	Domain string
 	// Residency is that of the requested adapter, at a version on which the request may run.
 	Residency Residency
-	// Backlog is the number of prompt tokens that are prefilled before those of the request.
+	// Backlog is the number of prompt tokens that are prefilled before those of the request, as the server has reported, and Sent the
+	// number of those that this entry has sent since.
 	Backlog int64
+	Sent    int64
+	// Rate is how many prompt tokens the server usually prefills in a second; 0 if it is not known.
+	Rate float64
+	// Slowness is how long work takes now, in percent of what is usual for this server; 0 if it is not known.
+	Slowness int
 	// Running is the number of requests that the server runs.
 	Running int
 	// Fetches is the number of adapters that the server fetches from the weight store or that wait for it.
@@ -82,42 +96,89 @@
 	Adapter string
 	// Domain is the failure domain of the entry.
 	Domain string
+	// PromptTokens is the size of the prompt, and MaxGap the longest pause that its route allows between two events; 0 for none.
+	PromptTokens int64
+	MaxGap       time.Duration
+	// Entries is the number of entries that choose from the same servers; 0 if it is not known.
+	Entries int
 }
 
-// Choose returns the index of the model server with the lowest cost, and that cost, which is an estimate of the wait until the
-// request is started; -1 if there are no candidates.
+// Choose returns the index of the model server with the lowest cost, and the wait until the request is expected to be started there; -1 if there
+// are no candidates. The cost is that wait, the prefill of the request itself, and what it costs the streams of the server.
 func Choose(query Query, servers []ModelServer) (int, time.Duration) {
-	best := -1
+	if len(servers) == 0 {
+		return -1, 0
+	}
+
+	choice := newChoice(&query, servers)
+	defer choice.release()
 
-	var lowest time.Duration
+	choice.run()
+
+	return choice.best, choice.wait(choice.best, choice.bestRank)
+}
+
+// tokenTime returns how long the prefill of one prompt token takes now, in nanoseconds.
+func (s *ModelServer) tokenTime() float64 {
+	rate := s.Rate
+	if !(rate > 0) {
+		rate = defaultRate
+	}
 
-	for rank, i := range ranking(query.Adapter, servers) {
-		cost := servers[i].cost(query, rank)
+	return float64(time.Second) / rate * float64(s.slowness()) / usualSlowness
+}
 
-		// Of servers with the same cost, the first one is chosen.
-		if best < 0 || cost < lowest || cost == lowest && i < best {
-			best, lowest = i, cost
-		}
+func (s *ModelServer) slowness() int {
+	if s.Slowness <= 0 {
+		return usualSlowness
 	}
 
-	return best, lowest
+	return s.Slowness
+}
+
+// ahead returns the expected number of prompt tokens that are prefilled before those of the request.
+func (s *ModelServer) ahead(query *Query) float64 {
+	others := float64(max(query.Entries-1, 0))
+
+	return float64(s.Backlog) + float64(s.Sent)*(1+othersShare*others)
 }
 
-func (s *ModelServer) cost(query Query, rank int) time.Duration {
-	cost := time.Duration(s.Backlog) * time.Millisecond / prefillRate
-	cost += time.Duration(s.Running) * runningCost
-	cost += time.Duration(rank) * prefixReuseCost
-	cost += s.StartDelay
+// wait returns the expected wait until the request is started, given the rank of the server.
+func (s *ModelServer) wait(query *Query, rank int, tokenTime float64) time.Duration {
+	wait := time.Duration(s.ahead(query) * tokenTime)
+	wait += time.Duration(s.Running) * runningCost
+	wait += time.Duration(rank) * prefixReuseCost
+	wait += s.StartDelay
 
 	if s.Domain != query.Domain {
-		cost += otherDomainCost
+		wait += otherDomainCost
 	}
 
 	if s.Suspect {
-		cost += suspectCost
+		wait += suspectCost
 	}
 
-	return cost + s.loadCost(rank)
+	return wait + s.loadCost(rank)
+}
+
+// cost returns the cost of the server for the request, which does not decrease with its rank.
+func (s *ModelServer) cost(query *Query, rank int) time.Duration {
+	tokenTime := s.tokenTime()
+	prefill := time.Duration(float64(query.PromptTokens) * tokenTime)
+
+	return s.wait(query, rank, tokenTime) + prefill + s.stall(query, prefill)
+}
+
+// stall returns the cost of a prefill that takes longer than the pause that the streams of the server allow. The other streams are taken for ones
+// of the same route.
+func (s *ModelServer) stall(query *Query, prefill time.Duration) time.Duration {
+	reserve := eventReserve * time.Duration(s.slowness()) / usualSlowness
+
+	if query.MaxGap <= 0 || prefill+reserve <= query.MaxGap {
+		return 0
+	}
+
+	return min(time.Duration(s.Running)*stallCost, maxStallCost)
 }
 
 func (s *ModelServer) loadCost(rank int) time.Duration {
@@ -135,29 +196,3 @@
 		return otherLoadCost + time.Duration(rank)*loadRankCost + time.Duration(s.Fetches)*fetchCost
 	}
 }
-
-// ranking returns the indices of the servers by their rendezvous scores, the highest first.
-func ranking(adapter string, servers []ModelServer) []int {
-	scores := make([]uint64, len(servers))
-	order := make([]int, len(servers))
-
-	for i := range servers {
-		scores[i] = score(adapter, servers[i].ID)
-		order[i] = i
-	}
-
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
-
-	return order
-}
-
-func score(adapter, id string) uint64 {
-	var digest xxhash.Digest
-
-	digest.Reset()
-	_, _ = digest.WriteString(adapter)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(id)
-
-	return digest.Sum64()
-}
