Order the queue of a model server by least cost to callers

Cause: the queue was ordered by urgency and arrival, with requests past their due time last. It knew nothing of the work ahead: under overload each request waited until it was a little late, and one that could not start in time was refused only when it expired. A due time 150 ms before the target counted streams as late that were on time, and their pauses did not count. Ruled out: earliest deadline first alone (makes all late under overload); urgency first throughout (makes less urgent requests late that could have gone first without harm).

Change: internal/forward/triage plans the queue. The requests that are served in time are chosen as Moore and Hodgson's algorithm does, with urgency as weight and the work for the gain as tie; they go by due time, and the more urgent first as far as nobody becomes late. A request without a turn before it expires is refused at once, with the time until there is room. Counts of what was served by urgency, size and load of the adapter keep each from being starved. The earlier order is Policy.OrderByUrgency. The state carries the waiting prompt tokens by urgency and those in prefill. The target in a request is what is left of it since its arrival at the entry, or since the last event of a stream that goes on.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -288,14 +288,31 @@
 			scheduled = decided.Request
 		case schedule.Refuse:
 			scheduled = decided.Request
+
+			if decided.Early {
+				metric.Count(a.Metrics, "queue.refused.early")
+			}
 		}
 
+		a.countQueued(scheduled)
+
 		if waiter := a.waiters[scheduled]; waiter != nil {
 			waiter <- action
 		}
 	}
 }
 
+// countQueued counts what the queue did to a request that leaves it.
+func (a *Agent) countQueued(scheduled *schedule.Request) {
+	if scheduled.Displaced {
+		metric.Count(a.Metrics, "queue.displaced")
+	}
+
+	if scheduled.Held() {
+		metric.Count(a.Metrics, "prompt.held")
+	}
+}
+
 // waitForWork waits until the next report or decision is due or wakeControl is called.
 func (a *Agent) waitForWork(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -13,9 +13,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// dueMargin is subtracted from the objective to get the latest time to start a request: the time that a model server takes
-// for the prefill and the first output token.
-const dueMargin = 150 * time.Millisecond
+// eventMargin is subtracted from the objective to get the time at which the model server must send the first event: the time that the event
+// takes through agent and entry to the client, with the queues of busy processes.
+const eventMargin = 20 * time.Millisecond
 
 // heartbeatPeriod is the time without an event on the stream of a request after which the agent sends a heartbeat.
 const heartbeatPeriod = 400 * time.Millisecond
@@ -92,7 +92,7 @@
 	started := time.Now()
 
 	if refused != nil {
-		a.reportExchange(delivery, exchangeReport{waited: started.Sub(arrived), last: *refused})
+		a.reportExchange(delivery, exchangeReport{scheduled: scheduled, waited: started.Sub(arrived), last: *refused})
 		return sender.emit(*refused)
 	}
 
@@ -114,7 +114,7 @@
 	})
 
 	a.reportExchange(delivery, exchangeReport{
-		waited: started.Sub(arrived), timeToFirst: timeToFirst, took: time.Since(started), info: info, last: last,
+		scheduled: scheduled, waited: started.Sub(arrived), timeToFirst: timeToFirst, took: time.Since(started), info: info, last: last,
 	})
 
 	if info != nil && info.Ended() {
@@ -139,9 +139,10 @@
 		MaxOutputTokens: delivery.MaxOutputTokens,
 		Urgency:         delivery.Urgency,
 		Arrived:         arrived,
-		Due:             arrived.Add(delivery.Objective - dueMargin),
+		Due:             arrived.Add(delivery.Objective - eventMargin),
 		Expires:         arrived.Add(delivery.MaxWait),
 		GapTarget:       delivery.GapTarget,
+		Resumed:         delivery.LastEventID != message.NoEventID,
 	}
 }
 
--- a/internal/forward/agent/report.go
+++ b/internal/forward/agent/report.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 )
@@ -18,6 +19,8 @@
 	// waited is the time until the request was sent, and timeToFirst that from then on to the first output; 0 without output. took is
 	// the time from then on to the outcome.
 	waited, timeToFirst, took time.Duration
+	// scheduled is the request as the queue had it; nil if it did not get there.
+	scheduled *schedule.Request
 	// info is the head of the response; nil if the request was not sent, and without a framing if there was no head.
 	info *upstream.ResponseInfo
 	// last is the outcome.
@@ -32,6 +35,10 @@
 		"patience": delivery.MaxWait.Milliseconds(),
 	})
 
+	if report.scheduled != nil {
+		entry = entry.WithField("displaced", report.scheduled.Displaced).WithField("held", report.scheduled.Held())
+	}
+
 	if report.info != nil && report.info.Framing != "" {
 		entry = entry.WithField("framing", report.info.Framing)
 		metric.Count(a.Metrics, "response.framing."+string(report.info.Framing))
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
@@ -10,6 +11,17 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
+// queuedTokens returns the prompt tokens that wait by urgency, without the urgencies after the last for which some wait. It is never empty, so
+// that an entry knows that the agent states them.
+func queuedTokens(state *schedule.State) []int64 {
+	count := len(state.QueuedTokens)
+	for count > 1 && state.QueuedTokens[count-1] == 0 {
+		count--
+	}
+
+	return slices.Clone(state.QueuedTokens[:count])
+}
+
 // stateMessage returns the state of the model server and the latest confirmations as a message for one entry, without what is
 // unchanged. The lock must be held.
 func (a *Agent) stateMessage(state schedule.State, w *watcher, unchanged publish.Unchanged) *relay.State {
@@ -20,6 +32,8 @@
 		Leaving:    state.Draining,
 		Running:    int32(state.Running),
 		Backlog:    state.Backlog,
+		Waiting:    queuedTokens(&state),
+		Prefilling: state.PrefillTokens,
 		Idle:       int32(state.IdleAdapterSlots),
 		Fetching:   int32(state.Fetches),
 		Entries:    int32(len(a.watchers)),
--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -73,6 +73,8 @@
 	// the request to the first piece of the response body; 0 before it.
 	expectedWait time.Duration
 	timeToFirst  time.Duration
+	// lastPiece is when the latest piece of the response body came; zero before the first one.
+	lastPiece time.Time
 	// drain is why the request was taken although the process was draining.
 	drain drainDecision
 	// startBy is when the request must have been started at a server, so that it ends before the process as forecast; zero for no limit.
@@ -150,6 +152,16 @@
 	return time.Until(j.deadline)
 }
 
+// targetLeft returns what is left of the time in which the next event is on time; 0 if that time has passed. The target for the first event
+// counts from the arrival of the request, and that for a later one from the event before it.
+func (j *job) targetLeft() time.Duration {
+	if !j.lastPiece.IsZero() {
+		return max(j.route.GapTarget-time.Since(j.lastPiece), 0)
+	}
+
+	return max(j.route.Objective-time.Since(j.request.Arrived), 0)
+}
+
 // delivery returns the request for one backend server and the minimum version of its adapter. After the response has started, it resumes
 // after the last event that the client has received.
 func (j *job) delivery(server fleet.Server, version int64) *message.Delivery {
@@ -164,7 +176,7 @@
 		Account:     j.account.Name,
 		MinVersion:  version,
 		Deadline:    j.deadline,
-		Objective:   j.route.Objective,
+		Objective:   j.targetLeft(),
 		GapTarget:   j.route.GapTarget,
 		MaxWait:     j.maxWait(),
 		Urgency:     j.urgency,
--- a/internal/forward/entry/response.go
+++ b/internal/forward/entry/response.go
@@ -158,6 +158,8 @@
 		}
 	}
 
+	r.job.lastPiece = time.Now()
+
 	if r.job.timeToFirst == 0 {
 		r.job.timeToFirst = time.Since(r.job.request.Arrived)
 		metric.Observe(r.entry.Metrics, "latency.first", r.job.timeToFirst)
--- /dev/null
+++ b/internal/forward/pace/prefill.go
@@ -0,0 +1,39 @@
+package pace
+
+import (
+	"slices"
+	"time"
+)
+
+// Prefill is the expected pace at which prompts are prefilled.
+type Prefill struct {
+	perToken, overhead time.Duration
+}
+
+// Time returns the time from the send of a request with a prompt of the given size to its first event.
+func (p Prefill) Time(tokens int64) time.Duration {
+	return time.Duration(tokens)*p.perToken + p.overhead
+}
+
+// Prefill returns the pace that is expected now. It is cheaper than PrefillTime for many prompts.
+func (e *Estimator) Prefill(now time.Time) Prefill {
+	return e.prefillAt(e.Slowness(now))
+}
+
+// UsualPrefill returns the pace that is usual for the server.
+func (e *Estimator) UsualPrefill() Prefill {
+	if len(e.statements) == 0 {
+		return e.prefillAt(Usual)
+	}
+
+	return e.prefillAt(slices.Min(e.statements))
+}
+
+func (e *Estimator) prefillAt(slowness int) Prefill {
+	perToken := e.tokenTime
+	if perToken == 0 {
+		perToken = defaultTokenTime
+	}
+
+	return Prefill{perToken: perToken * time.Duration(slowness) / Usual, overhead: prefillOverhead * time.Duration(slowness) / Usual}
+}
--- a/internal/forward/publish/publish.go
+++ b/internal/forward/publish/publish.go
@@ -114,5 +114,6 @@
 
 func sameLoad(one, other *schedule.State) bool {
 	return one.Running == other.Running && one.Backlog == other.Backlog &&
+		one.QueuedTokens == other.QueuedTokens && one.PrefillTokens == other.PrefillTokens &&
 		one.Fetches == other.Fetches && one.IdleAdapterSlots == other.IdleAdapterSlots
 }
--- a/internal/forward/publish/publish_test.go
+++ b/internal/forward/publish/publish_test.go
@@ -153,3 +153,26 @@
 	assert.Assert(t, publisher.Wait(now, content, 3) > 0)
 	assert.Assert(t, publisher.Record(now, content).Evidence, "only the load changed")
 }
+
+// Guards against an entry that expects a wait behind less urgent requests, because the agent does not send a change of the urgency alone.
+func TestUrgencyOfTheBacklogIsLoad(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before := publish.Content{State: schedule.State{Ready: true, Backlog: 1000, QueuedTokens: [schedule.UrgencyClasses]int64{1000}}}
+
+	cases := map[string]schedule.State{
+		"urgency":   {Ready: true, Backlog: 1000, QueuedTokens: [schedule.UrgencyClasses]int64{0, 1000}},
+		"prefilled": {Ready: true, Backlog: 1000, PrefillTokens: 1000},
+	}
+
+	for name, changed := range cases {
+		t.Run(name, func(t *testing.T) {
+			var publisher publish.Publisher
+
+			publisher.Record(now, before)
+
+			shortest, longest := publish.Intervals(5)
+			assert.Equal(t, publisher.Wait(now, before, 5), longest)
+			assert.Equal(t, publisher.Wait(now, publish.Content{State: changed}, 5), shortest)
+		})
+	}
+}
--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -116,8 +116,9 @@
 		return order, true
 	}
 
-	for _, request := range s.dispatchOrder(now) {
-		if !s.needsLoad(request) || s.activeFetches() >= s.policy().MaxFetches && !s.canLoadFromCache(request) {
+	for _, next := range s.plan(now) {
+		request := next.request
+		if next.hopeless || !s.needsLoad(request) || s.activeFetches() >= s.policy().MaxFetches && !s.canLoadFromCache(request) {
 			continue
 		}
 
--- a/internal/forward/schedule/policy.go
+++ b/internal/forward/schedule/policy.go
@@ -9,7 +9,10 @@
 	// MaxFetches is the number of adapters that a server fetches from the weight store at once. The store slows down when
 	// all servers together fetch many adapters, and requests that wait too long would cause further fetches elsewhere.
 	MaxFetches int
-	// KeepArrivalOrder leaves requests that can no longer be on time in their order of arrival.
+	// OrderByUrgency starts requests by urgency and arrival, those past their due time last, and refuses them only when they expire. Otherwise
+	// the order is that of least cost to callers, as internal/forward/triage decides.
+	OrderByUrgency bool
+	// KeepArrivalOrder orders requests as OrderByUrgency does, but leaves requests that can no longer be on time in their order of arrival.
 	KeepArrivalOrder bool
 	// IgnoreGaps starts requests although their prefill makes the pauses between the events of running streams too long.
 	IgnoreGaps bool
@@ -17,3 +20,8 @@
 
 // DefaultPolicy is the policy of agents.
 var DefaultPolicy = Policy{MaxPrefills: 1, MaxFetches: 1}
+
+// plans reports whether the order is that of least cost to callers.
+func (p Policy) plans() bool {
+	return !p.OrderByUrgency && !p.KeepArrivalOrder
+}
--- a/internal/forward/schedule/request.go
+++ b/internal/forward/schedule/request.go
@@ -25,20 +25,36 @@
 	// Urgency is the priority among waiting requests; 0 is the highest.
 	Urgency int
 	Arrived time.Time
-	// Due is when the output should begin; requests past it are sent after those that can still be on time.
+	// Due is when the first event should come; requests that can't meet it give way to those that can.
 	Due time.Time
 	// Expires is the latest time at which the request may start; it is refused afterwards.
 	Expires time.Time
 	// GapTarget is the longest time between two events for which the stream is on time; 0 for none.
 	GapTarget time.Duration
+	// Resumed is true if the request goes on with a stream of which its client has a part.
+	Resumed bool
+
+	// Displaced is true once the request gave way although it could have been on time alone.
+	Displaced bool
 
 	phase phase
+	// giveWay is true if the latest plan displaced the request.
+	giveWay bool
+	// held is true once the request waited so that it did not hold up streams.
+	held bool
+	// fetched is true if the adapter was not loaded when the request arrived.
+	fetched bool
 	// sentAt is when the request was sent to the server, and lastEvent when its last event came; lastEvent is zero before the first one.
 	sentAt, lastEvent time.Time
 	// late is true once the first event came after it was due, or two events were further apart than GapTarget.
 	late bool
 }
 
+// Held reports whether the request has waited so that its prefill did not hold up streams.
+func (r *Request) Held() bool {
+	return r.held
+}
+
 type phase int
 
 const (
@@ -61,7 +77,9 @@
 // Refuse ends a request that has not been sent.
 type Refuse struct {
 	Request *Request
-	Err     *fault.Error
+	// Early is true if the request would have expired before its turn.
+	Early bool
+	Err   *fault.Error
 }
 
 func (Start) action()  {}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -3,6 +3,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/pace"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/triage"
 )
 
 const (
@@ -37,9 +39,16 @@
 
 	limits Limits
 	report Report
+	// triage plans the order of the queue, and shares tells to which kinds of requests service is owed. candidates and turns are the memory of
+	// the latest plan.
+	triage     triage.Queue
+	shares     triage.Shares
+	candidates []triage.Candidate
+	turns      []turn
 	// reachable is true if the server answered the last call for its report.
 	reachable bool
-	queue     []*Request
+	// queue holds the waiting requests by due time.
+	queue []*Request
 	// active holds the requests at the server.
 	active map[*Request]bool
 	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
@@ -161,23 +170,20 @@
 	return len(s.limits.Models) > 0
 }
 
-// Add adds a request to the queue, ordered by urgency and then by arrival.
+// Add adds a request to the queue.
 func (s *Scheduler) Add(request *Request) {
 	index, _ := slices.BinarySearchFunc(s.queue, request, func(a, b *Request) int {
-		if a.Urgency != b.Urgency {
-			return a.Urgency - b.Urgency
-		}
-
-		return a.Arrived.Compare(b.Arrived)
+		return cmp.Or(a.Due.Compare(b.Due), a.Arrived.Compare(b.Arrived))
 	})
 	s.queue = slices.Insert(s.queue, index, request)
+	request.fetched = !s.isLoaded(request)
 }
 
 // Remove removes a request that waits or runs, and frees what it used.
 func (s *Scheduler) Remove(request *Request) {
 	switch request.phase {
 	case waiting:
-		s.queue = slices.DeleteFunc(s.queue, func(other *Request) bool { return other == request })
+		s.dequeue(request)
 	case prefilling:
 		s.endPrefill(request)
 		s.release(request)
@@ -217,10 +223,17 @@
 	// kept counts the requests that stay in the queue.
 	kept := 0
 
-	for _, request := range s.dispatchOrder(now) {
-		if err := s.refusal(now, request, kept); err != nil {
-			s.Remove(request)
-			actions = append(actions, Refuse{Request: request, Err: err})
+	for _, next := range s.plan(now) {
+		request := next.request
+
+		if err := s.refusal(now, next, kept); err != nil {
+			actions = append(actions, s.refuse(request, false, err))
+			continue
+		}
+
+		if next.hopeless {
+			err := fault.New(fault.Overloaded, "the request would expire before it can start at the backend server").WithRetryAfter(next.retryAfter)
+			actions = append(actions, s.refuse(request, true, err))
 
 			continue
 		}
@@ -243,32 +256,9 @@
 	return actions
 }
 
-// dispatchOrder returns the waiting requests, those that can still be on time first.
-func (s *Scheduler) dispatchOrder(now time.Time) []*Request {
-	requests := slices.Clone(s.queue)
-
-	if s.policy().KeepArrivalOrder {
-		return requests
-	}
-
-	slices.SortStableFunc(requests, func(a, b *Request) int {
-		late, other := now.After(a.Due), now.After(b.Due)
-
-		switch {
-		case late == other:
-			return 0
-		case late:
-			return 1
-		default:
-			return -1
-		}
-	})
-
-	return requests
-}
-
 // refusal returns why a request can't be served by this server; nil if it can. The given number of requests wait before it.
-func (s *Scheduler) refusal(now time.Time, request *Request, ahead int) *fault.Error {
+func (s *Scheduler) refusal(now time.Time, next turn, ahead int) *fault.Error {
+	request := next.request
 	limitWait := s.limiter.Wait(now, ahead)
 
 	switch {
@@ -283,7 +273,7 @@
 	case s.resting:
 		return fault.New(fault.Overloaded, "the backend server takes no requests for a while").WithRetryAfter(s.notices.RestLeft(now))
 	case now.After(request.Expires):
-		return fault.New(fault.Overloaded, "the request waited too long to start at the backend server")
+		return fault.New(fault.Overloaded, "the request waited too long to start at the backend server").WithRetryAfter(next.retryAfter)
 	case now.Add(limitWait).After(request.Expires):
 		return fault.New(fault.Overloaded, "the backend server has named a limit, and others wait").WithRetryAfter(limitWait)
 	case !s.isLoaded(request) && now.Before(s.blockedLoads[request.Adapter]):
@@ -333,7 +323,8 @@
 }
 
 func (s *Scheduler) start(now time.Time, request *Request) {
-	s.queue = slices.DeleteFunc(s.queue, func(other *Request) bool { return other == request })
+	s.shares.Record(s.work(request), true)
+	s.dequeue(request)
 	s.starts = append(s.starts, now)
 	s.running++
 	s.prefilling++
--- a/internal/forward/schedule/state.go
+++ b/internal/forward/schedule/state.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// UrgencyClasses is the number of urgencies that are told apart.
+const UrgencyClasses = 10
+
 // State is the state of the server that the agent sends to entries.
 type State struct {
 	// Ready is true if the server answers and takes requests.
@@ -15,7 +18,11 @@
 	Waiting  int
 	// Backlog is the number of prompt tokens that wait for prefill or are in it.
 	Backlog int64
-	Models  []string
+	// QueuedTokens is the part of Backlog that waits, by urgency; the last element counts all less urgent requests too. PrefillTokens is the
+	// part that is in prefill.
+	QueuedTokens  [UrgencyClasses]int64
+	PrefillTokens int64
+	Models        []string
 	// Adapters is sorted by model and name.
 	Adapters []HeldAdapter
 	// Fetches is the number of adapters that are being fetched from the weight store or wait for it.
@@ -53,11 +60,12 @@
 		StartSpacing:     s.limiter.Spacing(),
 	}
 
-	state.Backlog = s.prefillTokens
+	state.Backlog, state.PrefillTokens = s.prefillTokens, s.prefillTokens
 	awaited := map[Adapter]bool{}
 
 	for _, request := range s.queue {
 		state.Backlog += request.InputTokens
+		state.QueuedTokens[min(max(request.Urgency, 0), UrgencyClasses-1)] += request.InputTokens
 
 		if s.needsLoad(request) && !awaited[request.Adapter] {
 			awaited[request.Adapter] = true
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -67,6 +67,7 @@
 		return false
 	}
 
+	request.held = true
 	s.held, s.heldUntil = true, now.Add(heldPeriod)
 
 	return true
--- /dev/null
+++ b/internal/forward/triage/shares.go
@@ -0,0 +1,143 @@
+package triage
+
+const (
+	// classShare is how often a kind of request or requests whose adapter is not loaded must be served at least, by how often all are, and
+	// sizeShare how often the requests of a size must be, by how often the whole kind is. Both are above what callers are promised (a quarter
+	// and a half), because what is owed is only served some time later.
+	classShare, sizeShare = 0.35, 0.6
+	// minOutcomes is the number of outcomes of a class below which nothing is owed to it.
+	minOutcomes = 8
+	// maxOutcomes is the number of outcomes after which all counts are halved, so that the latest ones count most.
+	maxOutcomes = 512
+	// quantileStep bounds the change of an estimated quantile with each request, as a share of it.
+	quantileStep = 0.05
+)
+
+// sizeQuantiles divide the requests of a kind by size; the last class is the largest tenth. Smaller classes hold the requests before it to the
+// same bound.
+var sizeQuantiles = [...]float64{0.5, 0.7, 0.8, 0.9}
+
+// Shares counts which of the requests in a queue were served, by urgency, by size and by whether their adapter was loaded, and tells to which of
+// these classes service is owed. The zero value is ready to use.
+type Shares struct {
+	all, fetched outcomes
+	kinds        [maxUrgency + 1]kind
+}
+
+// kind counts the requests of one urgency.
+type kind struct {
+	outcomes
+
+	// sizes counts the requests above the estimates of each of sizeQuantiles and up to the next one. limits are the estimates in prompt
+	// tokens; 0 before the first request.
+	sizes  [len(sizeQuantiles)]outcomes
+	limits [len(sizeQuantiles)]float64
+}
+
+// outcomes counts requests that were served or refused, and those that were served.
+type outcomes struct {
+	ended, served float64
+}
+
+// Record counts the outcome of a request.
+func (s *Shares) Record(work Work, served bool) {
+	s.all.add(served)
+
+	if work.Fetch {
+		s.fetched.add(served)
+	}
+
+	s.kinds[urgencyClass(work.Urgency)].record(float64(work.Tokens), served)
+
+	if s.all.ended >= maxOutcomes {
+		s.halve()
+	}
+}
+
+// Owed returns how much too seldom requests like this one were served, as a share of how often they must be: 0 if nothing is owed, 1 if none
+// was served.
+func (s *Shares) Owed(work Work) float64 {
+	k := &s.kinds[urgencyClass(work.Urgency)]
+	owed := k.missing(classShare, &s.all)
+
+	if work.Fetch {
+		owed = max(owed, s.fetched.missing(classShare, &s.all))
+	}
+
+	if size := k.size(float64(work.Tokens)); size >= 0 {
+		owed = max(owed, k.sizes[size].missing(sizeShare, &k.outcomes))
+	}
+
+	return owed
+}
+
+func (s *Shares) halve() {
+	s.all.halve()
+	s.fetched.halve()
+
+	for i := range s.kinds {
+		s.kinds[i].halve()
+
+		for j := range s.kinds[i].sizes {
+			s.kinds[i].sizes[j].halve()
+		}
+	}
+}
+
+func (k *kind) record(tokens float64, served bool) {
+	k.add(served)
+
+	if size := k.size(tokens); size >= 0 {
+		k.sizes[size].add(served)
+	}
+
+	for i := range k.limits {
+		k.limits[i] = moveQuantile(k.limits[i], sizeQuantiles[i], tokens)
+	}
+}
+
+// size returns the index of the size class of a request; -1 for the smallest requests.
+func (k *kind) size(tokens float64) int {
+	for i := len(k.limits) - 1; i >= 0; i-- {
+		if k.limits[i] > 0 && tokens > k.limits[i] {
+			return i
+		}
+	}
+
+	return -1
+}
+
+// moveQuantile moves the estimate of a quantile by a step that balances only at the quantile.
+func moveQuantile(estimate, quantile, observed float64) float64 {
+	switch {
+	case estimate == 0:
+		return observed
+	case observed > estimate:
+		return estimate * (1 + quantileStep*quantile)
+	default:
+		return estimate * (1 - quantileStep*(1-quantile))
+	}
+}
+
+func (o *outcomes) add(served bool) {
+	o.ended++
+
+	if served {
+		o.served++
+	}
+}
+
+// missing returns the share that is missing to being served as often as the given part of all; 0 if none is.
+func (o *outcomes) missing(part float64, all *outcomes) float64 {
+	wanted := part * all.served * o.ended
+	if o.ended < minOutcomes || wanted == 0 {
+		return 0
+	}
+
+	return max(1-o.served*all.ended/wanted, 0)
+}
+
+func (o *outcomes) halve() {
+	o.ended /= 2
+	o.served /= 2
+}
--- a/internal/measure/play/client_request.go
+++ b/internal/measure/play/client_request.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// dueMargin is subtracted from the objective to get the latest time to start a request: the time that a model server takes
-	// for prefill and the first output token.
-	dueMargin = 150 * time.Millisecond
+	// eventMargin is the time that the first event takes from the server to the client, as the agent assumes it.
+	eventMargin = 20 * time.Millisecond
 	// maxRefusals is the number of refusals by servers after which the entry refuses the request.
 	maxRefusals = 3
 )
@@ -52,7 +51,7 @@
 		InputTokens:     c.promptTokens,
 		MaxOutputTokens: c.outputTokens,
 		Arrived:         now,
-		Due:             now.Add(workload.Objective - dueMargin),
+		Due:             now.Add(workload.Objective - eventMargin),
 		Expires:         now.Add(c.maxWait(now, workload)),
 	}
 }
