--- a/internal/forward/agent/report.go
+++ b/internal/forward/agent/report.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/quarantine"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 )
@@ -20,6 +21,8 @@
 	waited, timeToFirst, took time.Duration
 	// gap is the longest pause between two whole events of a stream.
 	gap time.Duration
+	// scheduled is the request as the queue had it; nil if it did not get there.
+	scheduled *schedule.Request
 	// info is the head of the response; nil if the request was not sent, and without a framing if there was no head.
 	info *upstream.ResponseInfo
 	// last is the outcome.
@@ -34,6 +37,10 @@
 		"gap": report.gap.Milliseconds(), "patience": delivery.MaxWait.Milliseconds(),
 	})
 
+	if report.scheduled != nil {
+		entry = entry.WithField("displaced", report.scheduled.Displaced).WithField("held", report.scheduled.Held())
+	}
+
 	if report.info != nil && report.info.Framing != "" {
 		entry = entry.WithField("framing", report.info.Framing)
 		metric.Count(a.Metrics, "response.framing."+string(report.info.Framing))
--- a/internal/forward/publish/publish.go
+++ b/internal/forward/publish/publish.go
@@ -115,5 +115,6 @@
 // sameLoad leaves the rate out: it is an average, and goes with the next message.
 func sameLoad(one, other *schedule.State) bool {
 	return one.Running == other.Running && one.Backlog == other.Backlog &&
-		one.Fetches == other.Fetches && one.IdleAdapterSlots == other.IdleAdapterSlots && one.Slowness == other.Slowness
+		one.QueuedTokens == other.QueuedTokens && one.PrefillTokens == other.PrefillTokens && one.Slowness == other.Slowness &&
+		one.Fetches == other.Fetches && one.IdleAdapterSlots == other.IdleAdapterSlots
 }
