Reckon the pause of a stream from the prefills within it

Cause: the time since the last event and a whole time between two events were added, so that the time between two events counted up to twice.

Change: the pause is the time between two events without prefill, and the prefills since the last event.

--- a/internal/forward/pace/prefill.go
+++ b/internal/forward/pace/prefill.go
@@ -15,6 +15,11 @@
 	return time.Duration(tokens)*p.perToken + p.overhead
 }
 
+// Stall returns the time for which the prefill of a prompt keeps the server from its running requests.
+func (p Prefill) Stall(tokens int64) time.Duration {
+	return time.Duration(tokens) * p.perToken
+}
+
 // Prefill returns the pace that is expected now. It is cheaper than PrefillTime for many prompts.
 func (e *Estimator) Prefill(now time.Time) Prefill {
 	return e.prefillAt(e.Slowness(now))
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -54,6 +54,8 @@
 	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
 	pace       pace.Estimator
 	prefillEnd time.Time
+	// stalled is the time for which all prefills together have kept the server from its running requests.
+	stalled time.Duration
 	// held is true if a request waits only so that it does not hold up streams, as of the last dispatch, and heldUntil when that is looked
 	// at again without an event.
 	held      bool
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -20,6 +20,7 @@
 		s.endPrefill(request)
 		s.pace.ObservePrefill(now, request.InputTokens, now.Sub(request.sentAt))
 		s.prefillEnd = now
+		s.stalled += s.pace.Prefill(now).Stall(request.InputTokens)
 	case decoding:
 		took := now.Sub(request.lastEvent)
 		request.late = request.late || request.GapTarget > 0 && took > request.GapTarget
@@ -31,7 +32,7 @@
 		return false
 	}
 
-	request.lastEvent = now
+	request.lastEvent, request.stalled = now, s.stalled
 
 	return first
 }
@@ -53,7 +54,7 @@
 		return false
 	}
 
-	hurt := s.heldUp(now, s.pace.PrefillTime(now, request.InputTokens))
+	hurt := s.heldUp(now, s.pace.Prefill(now).Stall(request.InputTokens))
 	allowed := 0
 
 	switch {
@@ -73,13 +74,19 @@
 	return true
 }
 
-// heldUp returns the number of streams on time whose next event would come too late if a prompt were prefilled for the given time.
-func (s *Scheduler) heldUp(now time.Time, prefill time.Duration) int {
-	until := now.Add(prefill + s.pace.EventTime(now))
+// heldUp returns the number of streams on time whose next event would come too late if the server stalled for the given time. The pause before
+// that event is the time between two events without a stall, and the stalls since the last one.
+func (s *Scheduler) heldUp(now time.Time, stall time.Duration) int {
+	event := s.pace.EventTime(now)
 	count := 0
 
 	for request := range s.active {
-		if request.phase == decoding && !request.late && request.GapTarget > 0 && until.Sub(request.lastEvent) > request.GapTarget {
+		if request.phase != decoding || request.late || request.GapTarget == 0 {
+			continue
+		}
+
+		pause := max(event+s.stalled-request.stalled, now.Sub(request.lastEvent)) + stall
+		if pause > request.GapTarget {
 			count++
 		}
 	}
