Count the work ahead of a request by urgency

Cause: an urgent request was refused, or sent to another server, because of work that agents put behind it; and all clients that were refused for one wait came back at the same moment, also after their deadlines.

Change: entries read the backlog of a server by urgency, and count for a request what is in prefill and what waits with its urgency or a higher one, as for what they have sent since. An agent that does not state it counts by its whole backlog. The refusal uses that wait. Its retry delay has the jitter that other refusals have, and does not pass the time at which a prompt could still be prefilled before the deadline.

Ruled out: counting less urgent work as well once the wait is over the objective, since late requests go behind those that can be on time: under overload the others are late too, and the most urgent requests would be refused for work that waits behind them.

--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -54,13 +54,14 @@
 			continue
 		}
 
+		reported, sent := state.Ahead(j.urgency)
 		usable = append(usable, server)
 		candidates = append(candidates, place.ModelServer{
 			ID:               server.ID,
 			Domain:           server.Domain,
 			Residency:        residency(&state, name, version),
-			Backlog:          state.Backlog,
-			Sent:             state.SentTokens,
+			Backlog:          reported,
+			Sent:             sent,
 			Rate:             state.Rate,
 			Slowness:         state.SlownessNow(now),
 			Running:          state.Running + state.Sent,
@@ -77,6 +78,7 @@
 	at, wait := place.Choose(query, candidates)
 	refused := refuse.CheckModelRequest(refuse.Candidate{
 		ID: j.request.ID, Found: at >= 0, ExpectedWait: wait, ModelLoading: modelLoading, MaxWait: j.maxWait(), Objective: j.route.Objective,
+		Useful: refuse.MaxRetry(j.remaining()),
 	})
 	if refused != nil {
 		return fleet.Server{}, refused
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -92,7 +92,7 @@
 	version := e.minVersions.get(link.Adapter{Model: j.request.Model, Name: j.request.Adapter})
 	request := convert.DeliveryToWire(time.Now(), j.delivery(server, version))
 
-	e.Links.RecordSent(server.ID, j.request.PromptTokens)
+	e.Links.RecordSent(server.ID, j.urgency, j.request.PromptTokens)
 
 	stream, err := relay.NewDRPCRelayClient(e.Pool.Get(e.Links.Address(server))).Exchange(ctx, request)
 	if err != nil {
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -176,13 +176,13 @@
 }
 
 // RecordSent adds a request of this entry to the last state that the agent reported.
-func (l *Links) RecordSent(id string, tokens int64) {
+func (l *Links) RecordSent(id string, urgency int, tokens int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	if found := l.links[id]; found != nil {
 		found.state.Sent++
-		found.state.SentTokens += tokens
+		found.state.SentTokens[clampUrgency(urgency, urgencies)] += tokens
 	}
 }
 
--- a/internal/forward/link/state.go
+++ b/internal/forward/link/state.go
@@ -41,9 +41,45 @@
 	Entries int
 	// Reader is true if this entry is to watch the store for others.
 	Reader bool
-	// Sent counts the requests that this entry has sent since the report, and SentTokens their prompt tokens.
+	// Waiting holds the prompt tokens that wait for prefill by urgency, of which the last element counts all less urgent ones too, and
+	// Prefilling those that are in it. Waiting is empty if the agent does not state it; Backlog is their sum.
+	Waiting    []int64
+	Prefilling int64
+	// Sent counts the requests that this entry has sent since the report, and SentTokens their prompt tokens by urgency, of which the last
+	// element counts all less urgent ones too.
 	Sent       int
-	SentTokens int64
+	SentTokens [urgencies]int64
+}
+
+// urgencies is the number of urgencies that are told apart.
+const urgencies = 10
+
+// Ahead returns the number of prompt tokens that are prefilled before those of a request of the given urgency, as the agent has reported them, and
+// that of those which this entry has sent since. Less urgent requests wait behind it, unless the agent does not tell them apart.
+func (s *State) Ahead(urgency int) (reported, sent int64) {
+	sent = upTo(s.SentTokens[:], urgency)
+
+	if len(s.Waiting) == 0 {
+		return s.Backlog, sent
+	}
+
+	return s.Prefilling + upTo(s.Waiting, urgency), sent
+}
+
+// upTo returns the tokens of the given urgency and of more urgent ones; the first element is always among them.
+func upTo(tokens []int64, urgency int) int64 {
+	total := int64(0)
+
+	for _, count := range tokens[:clampUrgency(urgency, len(tokens))+1] {
+		total += count
+	}
+
+	return total
+}
+
+// clampUrgency returns the index of an urgency in a list of the given length.
+func clampUrgency(urgency, length int) int {
+	return min(max(urgency, 0), length-1)
 }
 
 // SlownessNow returns how long work is expected to take at the server, in percent of what is usual for it.
@@ -91,6 +127,8 @@
 		Reader:           from.GetReader(),
 		StartDelay:       time.Duration(from.GetDelayMs()) * time.Millisecond,
 		StartSpacing:     time.Duration(from.GetSpacingMs()) * time.Millisecond,
+		Waiting:          from.GetWaiting(),
+		Prefilling:       from.GetPrefilling(),
 		Rate:             from.GetRate(),
 		Slowness:         int(from.GetSlowness()),
 		SlownessAt:       now.Add(-time.Duration(from.GetSlowAgeMs()) * time.Millisecond),
--- a/internal/forward/link/state_test.go
+++ b/internal/forward/link/state_test.go
@@ -44,3 +44,48 @@
 		})
 	}
 }
+
+// Guards against an urgent request that is refused or sent elsewhere because of work that waits behind it, and against an agent of the previous
+// version whose backlog does not count.
+func TestWorkAhead(t *testing.T) {
+	waiting := []int64{100, 200, 0, 0, 0, 0, 0, 0, 0, 400}
+
+	cases := map[string]struct {
+		state   *relay.State
+		urgency int
+		// sent are the tokens that were sent since, by urgency.
+		sent map[int]int64
+		want int64
+		own  int64
+	}{
+		"most urgent":             {state: &relay.State{Waiting: waiting, Prefilling: 50, Backlog: 750}, urgency: 0, want: 150},
+		"less urgent":             {state: &relay.State{Waiting: waiting, Prefilling: 50, Backlog: 750}, urgency: 1, want: 350},
+		"least urgent":            {state: &relay.State{Waiting: waiting, Prefilling: 50, Backlog: 750}, urgency: 9, want: 750},
+		"beyond the list":         {state: &relay.State{Waiting: waiting, Prefilling: 50, Backlog: 750}, urgency: 30, want: 750},
+		"negative":                {state: &relay.State{Waiting: waiting, Prefilling: 50, Backlog: 750}, urgency: -1, want: 150},
+		"short list":              {state: &relay.State{Waiting: []int64{100, 600}, Prefilling: 50, Backlog: 750}, urgency: 4, want: 750},
+		"previous version":        {state: &relay.State{Backlog: 750}, urgency: 0, want: 750},
+		"sent since, as urgent":   {state: &relay.State{Waiting: waiting}, urgency: 1, sent: map[int]int64{0: 10, 1: 20}, want: 300, own: 30},
+		"sent since, less urgent": {state: &relay.State{Waiting: waiting}, urgency: 1, sent: map[int]int64{2: 10, 12: 20}, want: 300},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := &Links{Log: logrus.New()}
+			agent := &link{id: "i"}
+			l.links = map[string]*link{"i": agent}
+
+			l.replaceState(agent, c.state)
+
+			for urgency, tokens := range c.sent {
+				l.RecordSent("i", urgency, tokens)
+			}
+
+			state, _ := l.State("i")
+			reported, sent := state.Ahead(c.urgency)
+			assert.Equal(t, reported, c.want)
+			assert.Equal(t, sent, c.own)
+			assert.Equal(t, state.Sent, len(c.sent))
+		})
+	}
+}
--- a/internal/forward/refuse/max_wait.go
+++ b/internal/forward/refuse/max_wait.go
@@ -22,6 +22,12 @@
 	return max(min(abandoned-silent, left)-prefillReserve, 0)
 }
 
+// MaxRetry returns the longest useful retry delay if the deadline of the client passes after left: afterwards, no prompt can be prefilled in time. It
+// is 0 if there is none.
+func MaxRetry(left time.Duration) time.Duration {
+	return max(left-prefillReserve, 0)
+}
+
 // MaxPlainWait returns how long a plain request may wait to be started if the deadline of its client passes after left.
 func MaxPlainWait(left time.Duration) time.Duration {
 	return time.Duration(plainWaitShare * float64(left))
--- a/internal/forward/refuse/refuse.go
+++ b/internal/forward/refuse/refuse.go
@@ -32,6 +32,8 @@
 	// MaxWait is how long the request may wait, and Objective its latency objective: a response within it is on time.
 	MaxWait   time.Duration
 	Objective time.Duration
+	// Useful is the longest retry delay that is of use to the client; 0 if it is not known.
+	Useful time.Duration
 }
 
 // CheckModelRequest returns an error if a request for a model server is refused, and nil if it is to be sent. A request is
@@ -43,12 +45,23 @@
 	case !candidate.Found:
 		return fault.New(fault.NoServer, "no model server is available for the request").WithRetryAfter(jitter(candidate.ID, noServerRetry))
 	case candidate.ExpectedWait > candidate.MaxWait && candidate.ExpectedWait > candidate.Objective:
-		return fault.New(fault.Overloaded, "the expected wait is at least %d ms at every model server", candidate.ExpectedWait.Milliseconds()).WithRetryAfter(candidate.ExpectedWait)
+		return fault.New(fault.Overloaded, "the expected wait is at least %d ms at every model server", candidate.ExpectedWait.Milliseconds()).WithRetryAfter(roomRetry(&candidate))
 	default:
 		return nil
 	}
 }
 
+// roomRetry returns the retry delay for a request whose wait is too long: the time until the work ahead of it is done at the best server, spread
+// over the clients, and no longer than useful.
+func roomRetry(candidate *Candidate) time.Duration {
+	room := candidate.ExpectedWait
+	if candidate.Useful > 0 {
+		room = min(room, time.Duration(float64(candidate.Useful)/(1+jitterShare)))
+	}
+
+	return jitter(candidate.ID, room)
+}
+
 // NoPlainServer returns the error for a request to a plain service without an available server. The time until one that wants no
 // requests for a while takes them again is the earliest retry; 0 if there is none.
 func NoPlainServer(id string, next time.Duration) *fault.Error {
