Weigh the load of plain servers by their slowness

Cause: in a trial with three servers of 6 slots, one three times as slow and saying so, the slow one got 35% of the requests at light and 22% at medium load; by its speed, its share is 14%.

Change: entries take the slowness from each response of a plain service, let it age as agents do, and multiply the load per slot with it. The load includes the request itself, so that of idle servers a slow one costs more. A statement is forgotten after 1.5 s, so that a server which gets no requests because it was slow is tried again and can state that it is well. What is known of servers that are no longer listed is dropped.

Ruled out: weighing only the requests that run, since two idle servers then cost the same.

Without a statement it gets as much as before.

--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -144,7 +144,7 @@
 	candidates := make([]place.PlainServer, len(servers))
 
 	for i, server := range servers {
-		own, others := e.plainLoads.load(server.ID)
+		own, others, slowness := e.plainLoads.load(now, server.ID)
 		leaving, restLeft := e.notices.check(now, server)
 		candidates[i] = place.PlainServer{
 			ID:            server.ID,
@@ -152,6 +152,7 @@
 			Slots:         server.Slots,
 			OwnRequests:   own,
 			OtherRequests: others,
+			Slowness:      slowness,
 			Suspect:       e.health.suspect(now, server.ID),
 			Leaving:       leaving,
 			RestLeft:      max(restLeft, e.limits.blockedFor(now, server)),
--- a/internal/forward/entry/links.go
+++ b/internal/forward/entry/links.go
@@ -36,6 +36,7 @@
 		e.confirmEnds()
 		e.PlainClient.Sweep(time.Now())
 		e.limits.retain(e.isListed)
+		e.plainLoads.retain(e.isListed)
 
 		select {
 		case <-ctx.Done():
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -53,7 +53,7 @@
 	}
 
 	if info != nil && info.Load != nil {
-		e.plainLoads.report(server.ID, *info.Load)
+		e.plainLoads.report(time.Now(), server.ID, *info.Load)
 	}
 
 	return last
--- a/internal/forward/place/place_test.go
+++ b/internal/forward/place/place_test.go
@@ -152,6 +152,9 @@
 		"own failure domain":      {servers: []place.PlainServer{{ID: "x", Domain: "other", Slots: 6}, {ID: "y", Domain: "d", Slots: 6}}, want: 1},
 		"less loaded":             {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, OwnRequests: 3}, {ID: "y", Domain: "other", Slots: 6}}, want: 1},
 		"load from other entries": {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, OtherRequests: 5}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 1}}, want: 1},
+		"slow":                    {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Slowness: 300}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 1}}, want: 1},
+		"slow and idle":           {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Slowness: 300}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 3}}, want: 0},
+		"slowness not known":      {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Slowness: 101}, {ID: "y", Domain: "d", Slots: 6}}, want: 1},
 		"suspect":                 {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Suspect: true}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 5}}, want: 1},
 	}
 
--- a/internal/forward/place/plain.go
+++ b/internal/forward/place/plain.go
@@ -12,6 +12,8 @@
 	// other entries.
 	OwnRequests   int
 	OtherRequests int
+	// Slowness is how long work takes now, in percent of what is usual for such servers; 0 if it is not known.
+	Slowness int
 	// Suspect is true if the last requests to the server failed.
 	Suspect bool
 	// Leaving is true if the server has announced that it leaves, and RestLeft is how long it still wants no requests, or takes none within
@@ -27,7 +29,8 @@
 	suspectLoad = 4.0
 )
 
-// ChoosePlain returns the index of the server with the lowest load per slot among those that take requests; -1 if there are none.
+// ChoosePlain returns the index of the server with the lowest load per slot, weighed by its slowness, among those that take requests; -1 if there are
+// none.
 func ChoosePlain(domain string, servers []PlainServer) int {
 	best := -1
 	lowest := 0.0
@@ -38,7 +41,7 @@
 			continue
 		}
 
-		load := float64(server.OwnRequests+server.OtherRequests) / float64(max(server.Slots, 1))
+		load := server.load()
 
 		if server.Domain != domain {
 			load += otherDomainLoad
@@ -56,6 +59,18 @@
 	return best
 }
 
+// load returns the load per slot with one more request, weighed by the slowness. That request counts so that of idle servers a slow one costs more.
+func (s *PlainServer) load() float64 {
+	requests := s.OwnRequests + s.OtherRequests + 1
+	slowness := s.Slowness
+
+	if slowness <= 0 {
+		slowness = usualSlowness
+	}
+
+	return float64(requests) / float64(max(s.Slots, 1)) * float64(slowness) / usualSlowness
+}
+
 // NextPlain returns the time until the first server that wants no requests for a while takes them again; 0 if there is none.
 func NextPlain(servers []PlainServer) time.Duration {
 	next := time.Duration(0)
