--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -192,6 +192,10 @@
 
 // observeLoad records the load that the model server has stated in a response.
 func (a *Agent) observeLoad(_ string, load upstream.Load) {
+	if load.Slowness <= 0 {
+		return
+	}
+
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
--- a/internal/forward/agent/gauges.go
+++ b/internal/forward/agent/gauges.go
@@ -22,6 +22,8 @@
 	gauge("queue.running", func(state schedule.State) int { return state.Running })
 	gauge("adapters.held", func(state schedule.State) int { return len(state.Adapters) })
 	gauge("adapters.idle", func(state schedule.State) int { return state.IdleAdapterSlots })
+	gauge("pace.rate", func(state schedule.State) int { return int(state.Rate) })
+	gauge("pace.slowness", func(state schedule.State) int { return state.Slowness })
 	// The watchers are the entries that receive each change of the state.
 	gauge("entries.linked", func(schedule.State) int { return len(a.watchers) })
 }
--- a/internal/forward/place/place_test.go
+++ b/internal/forward/place/place_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// BenchmarkChoosePlain measures one choice by the number of servers of a plain service.
+func BenchmarkChoosePlain(b *testing.B) {
+	for _, count := range []int{18, 120, 880} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers := make([]place.PlainServer, count)
+			for i := range servers {
+				servers[i] = place.PlainServer{ID: fmt.Sprintf("i-%08x", i), Domain: "d", Slots: 6, OwnRequests: i % 5, Slowness: 100 + i%3}
+			}
+
+			for b.Loop() {
+				place.ChoosePlain("d", servers)
+			}
+		})
+	}
+}
+
 // BenchmarkChoose measures one choice by the number of model servers.
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{18, 120, 880} {
--- a/internal/forward/place/plain.go
+++ b/internal/forward/place/plain.go
@@ -68,7 +68,7 @@
 		slowness = usualSlowness
 	}
 
-	return float64(requests) / float64(max(s.Slots, 1)) * float64(slowness) / usualSlowness
+	return float64(requests*slowness) / float64(max(s.Slots, 1)*usualSlowness)
 }
 
 // NextPlain returns the time until the first server that wants no requests for a while takes them again; 0 if there is none.
--- a/internal/measure/play/entry.go
+++ b/internal/measure/play/entry.go
@@ -39,7 +39,10 @@
 		candidates = append(candidates, e.candidate(s, c.adapter))
 	}
 
-	query := place.Query{Adapter: modelName + "/" + c.adapter.Name, Domain: e.domain}
+	query := place.Query{
+		Adapter: modelName + "/" + c.adapter.Name, Domain: e.domain, PromptTokens: c.promptTokens, MaxGap: sim.workload.GapTarget,
+		Entries: len(sim.entries),
+	}
 	index, wait := sim.policy.choose(sim.rng, query, candidates)
 	refused := refuse.CheckModelRequest(refuse.Candidate{
 		ID: c.id(), Found: index >= 0, ExpectedWait: wait, MaxWait: c.maxWait(sim.clock.now, sim.workload), Objective: sim.workload.Objective,
@@ -79,7 +82,9 @@
 	candidate := place.ModelServer{
 		ID:               s.id,
 		Domain:           s.domain,
-		Backlog:          state.Backlog + own.tokens,
+		Backlog:          state.Backlog,
+		Sent:             own.tokens,
+		Rate:             state.Rate,
 		Running:          state.Running + own.requests,
 		Fetches:          state.Fetches,
 		IdleAdapterSlots: state.IdleAdapterSlots,
--- a/internal/measure/play/policy.go
+++ b/internal/measure/play/policy.go
@@ -36,7 +36,7 @@
 	best := -1
 
 	for i := range servers {
-		if best < 0 || servers[i].Backlog < servers[best].Backlog {
+		if best < 0 || servers[i].Backlog+servers[i].Sent < servers[best].Backlog+servers[best].Sent {
 			best = i
 		}
 	}
