Refuse for the wait only if no model server can start in time

Cause: the choice weighs the prefill of the request and the streams of a server besides the wait, so that the server with the lowest cost may have a longer wait than another, and the request was refused for it.

Change: if the wait there is longer than the request may wait, the server with the shortest wait is taken.

--- a/internal/forward/entry/choose.go
+++ b/internal/forward/entry/choose.go
@@ -54,30 +54,19 @@
 			continue
 		}
 
-		reported, sent := state.Ahead(j.urgency)
+		candidate := j.candidate(now, server, &state, version)
+		candidate.Suspect = server.ID != j.returnsTo && e.health.suspect(now, server.ID)
 		usable = append(usable, server)
-		candidates = append(candidates, place.ModelServer{
-			ID:               server.ID,
-			Domain:           server.Domain,
-			Residency:        residency(&state, name, version),
-			Backlog:          reported,
-			Sent:             sent,
-			Rate:             state.Rate,
-			Slowness:         state.SlownessNow(now),
-			Running:          state.Running + state.Sent,
-			Fetches:          state.Fetches,
-			IdleAdapterSlots: idleAdapterSlots(&state, name),
-			StartDelay:       state.StartDelay + time.Duration(state.Sent)*state.StartSpacing,
-			Suspect:          server.ID != j.returnsTo && e.health.suspect(now, server.ID),
-		})
+		candidates = append(candidates, candidate)
 	}
 
 	query := place.Query{
 		Adapter: j.rankingKey(), Domain: e.Domain, PromptTokens: j.request.PromptTokens, MaxGap: j.route.GapTarget, Entries: e.Entries(),
 	}
-	at, wait := place.Choose(query, candidates)
+	maxWait := j.maxWait()
+	at, wait := place.ChooseWithin(query, candidates, maxWait)
 	refused := refuse.CheckModelRequest(refuse.Candidate{
-		ID: j.request.ID, Found: at >= 0, ExpectedWait: wait, ModelLoading: modelLoading, MaxWait: j.maxWait(), Objective: j.route.Objective,
+		ID: j.request.ID, Found: at >= 0, ExpectedWait: wait, ModelLoading: modelLoading, MaxWait: maxWait, Objective: j.route.Objective,
 		Useful: refuse.MaxRetry(j.remaining()),
 	})
 	if refused != nil {
@@ -89,6 +78,26 @@
 	return usable[at], nil
 }
 
+// candidate returns a model server as a candidate for the request, which needs the given version of its adapter or a newer one.
+func (j *job) candidate(now time.Time, server fleet.Server, state *link.State, version int64) place.ModelServer {
+	name := link.Adapter{Model: j.request.Model, Name: j.request.Adapter}
+	reported, sent := state.Ahead(j.urgency)
+
+	return place.ModelServer{
+		ID:               server.ID,
+		Domain:           server.Domain,
+		Residency:        residency(state, name, version),
+		Backlog:          reported,
+		Sent:             sent,
+		Rate:             state.Rate,
+		Slowness:         state.SlownessNow(now),
+		Running:          state.Running + state.Sent,
+		Fetches:          state.Fetches,
+		IdleAdapterSlots: idleAdapterSlots(state, name),
+		StartDelay:       state.StartDelay + time.Duration(state.Sent)*state.StartSpacing,
+	}
+}
+
 // rankingKey returns the key by which model servers are ranked for the request: the adapter, or the first prompt part for
 // a request to the base model.
 func (j *job) rankingKey() string {
--- a/internal/forward/place/pace_test.go
+++ b/internal/forward/place/pace_test.go
@@ -57,3 +57,32 @@
 		})
 	}
 }
+
+// Guards against a request that is refused for its wait although a server, at which it costs more, would start it in time.
+func TestChooseWithinTheLongestWait(t *testing.T) {
+	query := place.Query{Adapter: "m/a1", PromptTokens: 6000, MaxGap: 300 * time.Millisecond}
+	servers := []place.ModelServer{
+		{ID: "x", Residency: place.Present, Backlog: 10_000},
+		{ID: "y", Residency: place.Present, Running: 8},
+	}
+
+	cases := map[string]struct {
+		maxWait time.Duration
+		want    int
+	}{
+		"lowest cost":   {maxWait: time.Second, want: 0},
+		"shortest wait": {maxWait: 400 * time.Millisecond, want: 1},
+		"none in time":  {maxWait: time.Millisecond, want: 1},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, wait := place.ChooseWithin(query, servers, c.maxWait)
+			assert.Equal(t, got, c.want)
+			assert.Equal(t, wait < 400*time.Millisecond, c.want == 1)
+		})
+	}
+
+	none, _ := place.ChooseWithin(query, nil, time.Second)
+	assert.Equal(t, none, -1)
+}
--- a/internal/forward/place/place.go
+++ b/internal/forward/place/place.go
@@ -103,6 +103,19 @@
 	Entries int
 }
 
+// ChooseWithin is like Choose, but returns the server with the shortest wait if that of the one with the lowest cost is longer than the request may
+// wait: a request is not refused as long as any server can start it in time.
+func ChooseWithin(query Query, servers []ModelServer, maxWait time.Duration) (int, time.Duration) {
+	at, wait := Choose(query, servers)
+	if at < 0 || wait <= maxWait {
+		return at, wait
+	}
+
+	query.PromptTokens, query.MaxGap = 0, 0
+
+	return Choose(query, servers)
+}
+
 // Choose returns the index of the model server with the lowest cost, and the wait until the request is expected to be started there; -1 if there
 // are no candidates. The cost is that wait, the prefill of the request itself, and what it costs the streams of the server.
 func Choose(query Query, servers []ModelServer) (int, time.Duration) {
