--- a/internal/forward/place/place_test.go
+++ b/internal/forward/place/place_test.go
@@ -152,6 +152,9 @@
 		"own failure domain":      {servers: []place.PlainServer{{ID: "x", Domain: "other", Slots: 6}, {ID: "y", Domain: "d", Slots: 6}}, want: 1},
 		"less loaded":             {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, OwnRequests: 3}, {ID: "y", Domain: "other", Slots: 6}}, want: 1},
 		"load from other entries": {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, OtherRequests: 5}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 1}}, want: 1},
+		"slow":                    {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Slowness: 300}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 1}}, want: 1},
+		"slow and idle":           {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Slowness: 300}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 3}}, want: 0},
+		"slowness not known":      {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Slowness: 101}, {ID: "y", Domain: "d", Slots: 6}}, want: 1},
 		"suspect":                 {servers: []place.PlainServer{{ID: "x", Domain: "d", Slots: 6, Suspect: true}, {ID: "y", Domain: "d", Slots: 6, OwnRequests: 5}}, want: 1},
 	}
 
@@ -162,6 +165,22 @@
 	}
 }
 
+// BenchmarkChoosePlain measures one choice by the number of servers of a plain service.
+func BenchmarkChoosePlain(b *testing.B) {
+	for _, count := range []int{18, 120, 880} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			servers := make([]place.PlainServer, count)
+			for i := range servers {
+				servers[i] = place.PlainServer{ID: fmt.Sprintf("i-%08x", i), Domain: "d", Slots: 6, OwnRequests: i % 5, Slowness: 100 + i%3}
+			}
+
+			for b.Loop() {
+				place.ChoosePlain("d", servers)
+			}
+		})
+	}
+}
+
 // BenchmarkChoose measures one choice by the number of model servers.
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{18, 120, 880} {
