Report the usage of client accounts from one VM at a time

Cause: the platform expects one usage report for each window of 5 s, from one VM at a time, and nothing sent any.

Change: an entry that watches the store for others takes a lease in the table "duties", by writes conditional on the version of the row. It fixes the counts of a window in the row before it sends them, which renews the lease. All entries count what begins to run by client account and true time, and pass the counts on to three agents; the holder reads them from all agents.

Ruled out by random runs of the controller against a store with faults: to keep the fencing token of a restored row (a lower one followed a higher one), to write at a version read long ago (a restored store gives it out again to another holder), to count a window anew after a write of unknown outcome (the earlier counts may be known to others), and to keep three reports whatever the length of a window (a report that could still arrive made room for others).

--- /dev/null
+++ b/internal/duty/holder/usage.go
@@ -0,0 +1,304 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/lease"
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/usage"
+)
+
+const (
+	// usageSubject is the subject of the usage reports: all windows together.
+	usageSubject = "usage_report"
+	// callTimeout limits a call to the platform, and minCallTime is the time that must be left for one. callMargin is the time between the end
+	// of a call and the earliest expiry of the lease.
+	callTimeout = 2 * time.Second
+	minCallTime = 200 * time.Millisecond
+	callMargin  = 200 * time.Millisecond
+	// reportRetry is the time before a report is sent again, and rateShare the part of the rate of calls that one duty may use.
+	reportRetry = 500 * time.Millisecond
+	rateShare   = 0.5
+	// rolePeriod is the time between two looks whether this entry may hold the duty.
+	rolePeriod = 500 * time.Millisecond
+	// fieldWindow is the name of a log field.
+	fieldWindow = "window"
+)
+
+// Tallies reads what other entries have counted.
+type Tallies interface {
+	// Read returns what processes have counted in a window, as far as the connected agents know.
+	Read(ctx context.Context, window int64) []usage.Tally
+}
+
+// UsageReporter makes the usage reports while it holds their lease. Its exported fields are set before Run.
+type UsageReporter struct {
+	Store    Store
+	Platform Platform
+	Tallies  Tallies
+	// Counting counts the requests of this entry and knows the true time.
+	Counting *Counting
+	// Self is this process.
+	Self lease.Holder
+	// IsCandidate reports whether this entry may take the lease.
+	IsCandidate func() bool
+	// Due is the time from the end of a window until its report must have arrived, and MinTenure the time within which holders must not act in
+	// the order A, B, A.
+	Due, MinTenure time.Duration
+	// CallRate is the number of calls per second that the platform takes from all VMs together; 0 if it is not limited.
+	CallRate float64
+	// FirstStart is true if the whole system has just started for the first time.
+	FirstStart bool
+	Log        logrus.FieldLogger
+	Metrics    metrics.Registry
+
+	subject subject
+	book    usage.Book
+	// startedAt is the local time of the start, and nextTry that of the next send of a report.
+	startedAt, nextTry time.Duration
+}
+
+// Run holds the duty whenever it can until the context ends, and then releases the lease.
+func (r *UsageReporter) Run(ctx context.Context) {
+	r.startedAt = r.Counting.Clock()
+	r.book = usage.Book{Length: r.Counting.Counter.Length, Due: r.Due}
+	r.subject.key, r.subject.store, r.subject.clock = usageSubject, r.Store, r.Counting.Clock
+	r.subject.log, r.subject.metrics, r.subject.adopt = r.Log, r.Metrics, r.book.Adopt
+	r.subject.lease = lease.Lease{Self: r.Self, MinTenure: r.MinTenure, FirstStart: r.FirstStart}
+
+	metric.Gauge(r.Metrics, "duty.holder", func() int64 {
+		if r.subject.holds() {
+			return 1
+		}
+
+		return 0
+	})
+
+	for ctx.Err() == nil {
+		r.step(ctx)
+	}
+
+	r.subject.release()
+}
+
+// step does what is due, or waits for it.
+func (r *UsageReporter) step(ctx context.Context) {
+	_, known := r.Counting.Now()
+
+	switch {
+	case !known:
+		r.subject.pause(ctx, placePeriod)
+	case r.subject.lease.IsOwn():
+		r.serve(ctx)
+	case r.IsCandidate():
+		r.subject.follow(ctx, r.contentToTake)
+	default:
+		r.subject.pause(ctx, rolePeriod)
+	}
+}
+
+// contentToTake returns what the row is to hold when this process takes the lease.
+func (r *UsageReporter) contentToTake() lease.Content {
+	now, _ := r.Counting.Now()
+
+	if since, stale := r.subject.lease.StaleSince(); stale {
+		r.book.SkipBefore(r.Counting.True(since))
+	}
+
+	r.book.Start(now)
+
+	return r.book.Content()
+}
+
+// serve does what the holder has to do next.
+func (r *UsageReporter) serve(ctx context.Context) {
+	now, _ := r.Counting.Now()
+	local := r.Counting.Clock()
+	lapsed := r.subject.lease.Left(local) == 0
+
+	if !r.subject.lease.Known() {
+		if !r.subject.read(ctx) {
+			r.subject.pause(ctx, retryDelay)
+		}
+
+		return
+	}
+
+	if _, stale := r.subject.lease.StaleSince(); stale && lapsed {
+		r.subject.follow(ctx, r.contentToTake)
+		return
+	}
+
+	r.giveUp(now)
+
+	if lapsed || local >= r.subject.lease.RenewAt() || r.book.FixAt() <= now {
+		if !r.fix(ctx, now) {
+			r.subject.pause(ctx, retryDelay)
+		}
+
+		return
+	}
+
+	left := min(r.book.FixAt()-now, r.subject.lease.RenewAt()-local)
+	if report, ok := r.nextReport(now); ok {
+		if wait := r.nextTry - local; wait > 0 {
+			left = min(left, wait)
+		} else if timeout := r.timeToCall(local, left); timeout > 0 {
+			r.sendReport(ctx, report, timeout)
+			return
+		}
+	}
+
+	r.subject.pause(ctx, left)
+}
+
+// timeToCall returns how long a call may take that begins now: it ends before the lease could expire and before the next write is due. It is 0
+// if there is no time for a call.
+func (r *UsageReporter) timeToCall(local, left time.Duration) time.Duration {
+	timeout := min(callTimeout, left, r.subject.lease.Left(local)-callMargin)
+	if timeout < minCallTime {
+		return 0
+	}
+
+	return timeout
+}
+
+// giveUp gives up the reports that would arrive too late.
+func (r *UsageReporter) giveUp(now time.Duration) {
+	if missed := r.book.Overdue(now); missed > 0 {
+		r.countLate(missed)
+		r.Log.WithField("windows", missed).Warn("usage windows not fixed in time")
+	}
+
+	for _, report := range r.book.ToSend() {
+		if r.book.DueAt(report.Window) > now {
+			continue
+		}
+
+		r.book.Done(report.Window)
+		r.countLate(1)
+		r.Log.WithField(fieldWindow, report.Window).Warn("usage report given up")
+	}
+}
+
+func (r *UsageReporter) countLate(reports int64) {
+	metrics.GetOrRegisterCounter("duty.report.late", r.Metrics).Inc(reports)
+}
+
+// nextReport returns the next report to send; false if all have arrived.
+func (r *UsageReporter) nextReport(now time.Duration) (lease.Report, bool) {
+	for _, report := range r.book.ToSend() {
+		if r.book.DueAt(report.Window) > now {
+			return report, true
+		}
+	}
+
+	return lease.Report{}, false
+}
+
+// fix writes the counts of the windows that have ended into the row, which renews the lease, and reports whether the row has them.
+func (r *UsageReporter) fix(ctx context.Context, now time.Duration) bool {
+	windows := r.book.ToFix(now)
+	next := r.book.Content().NextWindow
+	reports := make([]lease.Report, 0, len(windows))
+
+	for _, window := range windows {
+		next = window + 1
+
+		if report, ok := r.report(ctx, window); ok {
+			reports = append(reports, report)
+		}
+	}
+
+	if !r.subject.write(ctx, r.book.WithFixed(reports, next)) {
+		return false
+	}
+
+	for _, report := range reports {
+		r.Log.WithFields(logrus.Fields{fieldWindow: report.Window, "accounts": len(report.Counts), "requests": sum(report.Counts)}).Info("usage window fixed")
+	}
+
+	return true
+}
+
+// report returns the report of a window as it is to be fixed; false if the window ended before the start of the system, without requests.
+func (r *UsageReporter) report(ctx context.Context, window int64) (lease.Report, bool) {
+	if report, ok := r.book.Proposed(window); ok {
+		return report, true
+	}
+
+	report := lease.Report{Window: window, Counts: r.count(ctx, window)}
+	if len(report.Counts) == 0 && usage.End(window, r.book.Length) <= r.Counting.True(r.startedAt) {
+		return lease.Report{}, false
+	}
+
+	r.book.Propose(report)
+
+	return report, true
+}
+
+func sum(counts map[string]int64) int64 {
+	total := int64(0)
+	for _, n := range counts {
+		total += n
+	}
+
+	return total
+}
+
+// count returns what all entries have counted in a window.
+func (r *UsageReporter) count(ctx context.Context, window int64) usage.Counts {
+	tallies := r.Tallies.Read(ctx, window)
+
+	for _, own := range r.Counting.Windows() {
+		if own.Number == window {
+			tallies = append(tallies, usage.Tally{Process: r.Self.Process, Counts: own.Counts})
+		}
+	}
+
+	return usage.Sum(tallies)
+}
+
+// sendReport sends a report once.
+func (r *UsageReporter) sendReport(ctx context.Context, report lease.Report, timeout time.Duration) {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
+	fence := r.subject.lease.Fence()
+	requested := r.Counting.Clock()
+	err := r.Platform.Report(bounded, Token{VM: r.Self.VM, Fence: fence}, report)
+	log := r.Log.WithFields(logrus.Fields{fieldWindow: report.Window, fieldFence: fence, "took": (r.Counting.Clock() - requested).Milliseconds()})
+	r.nextTry = r.Counting.Clock() + r.retryAfter()
+
+	if err == nil {
+		r.book.Done(report.Window)
+		r.nextTry = 0
+		metric.Count(r.Metrics, "duty.report.sent")
+		log.Info("usage report sent")
+
+		return
+	}
+
+	metric.Count(r.Metrics, "duty.report.failed")
+
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		log = log.WithField("status", refused.Status)
+	}
+
+	log.WithError(err).Warn("usage report refused or not answered")
+}
+
+// retryAfter returns the time between two calls, so that the duty stays within its part of the rate of calls.
+func (r *UsageReporter) retryAfter() time.Duration {
+	if r.CallRate <= 0 {
+		return reportRetry
+	}
+
+	return max(reportRetry, time.Duration(float64(time.Second)/(rateShare*r.CallRate)))
+}
--- /dev/null
+++ b/internal/duty/holder/usage_test.go
@@ -0,0 +1,220 @@
+package holder_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// windowsIn returns the numbers of the windows that end within a span.
+func windowsIn(from, to time.Time) []int64 {
+	var numbers []int64
+
+	length := int64(windowLength)
+	for number := from.UnixNano() / length; (number+1)*length <= to.UnixNano(); number++ {
+		numbers = append(numbers, number)
+	}
+
+	return numbers
+}
+
+// reported returns how often the report of a window arrived in time.
+func (s *site) reported(window int64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	count := 0
+
+	for _, made := range s.calls {
+		end := time.Unix(0, (made.report.Window+1)*int64(windowLength))
+		if made.report.Window == window && made.at.Sub(end) < due {
+			count++
+		}
+	}
+
+	return count
+}
+
+// stop ends all processes.
+func (s *site) stop() {
+	for _, p := range s.processes {
+		p.kill()
+		<-p.ended
+	}
+
+	synctest.Wait()
+}
+
+// Guards against reports that are missing, late or sent twice, and against calls of the store that grow with the number of entries.
+func TestEachWindowIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1)
+		defer s.stop()
+
+		first := time.Now()
+		processes := []*process{s.start("a", true, true), s.start("b", true, true), s.start("c", false, true)}
+
+		time.Sleep(time.Minute)
+
+		for _, window := range windowsIn(first, time.Now().Add(-2*time.Second)) {
+			assert.Equal(t, s.reported(window), 1, "window %d", window)
+		}
+
+		assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+		assert.Equal(t, processes[2].writes+processes[2].polls+processes[2].reads, 0, "an entry that is no reader makes no call")
+
+		writes, polls := 0, 0
+		for _, p := range processes {
+			writes += p.writes
+			polls += p.polls + p.reads
+		}
+
+		// Twelve windows, one write that takes the lease, and the calls of the entry that does not get it.
+		assert.Assert(t, writes <= 12+2, "%d writes", writes)
+		assert.Assert(t, polls <= 12+4, "%d reads and polls", polls)
+	})
+}
+
+// Guards against a duty that stays without a holder, or a report that a successor lacks or changes, when the holder ends in some way.
+func TestSuccessorReportsInTime(t *testing.T) {
+	cases := map[string]func(s *site, p *process){
+		"killed":    func(_ *site, p *process) { p.kill() },
+		"shut down": func(_ *site, p *process) { p.cancel() },
+		"frozen": func(s *site, p *process) {
+			s.mu.Lock()
+			p.frozenUntil = time.Now().Add(30 * time.Second)
+			s.mu.Unlock()
+		},
+		"partitioned": func(s *site, p *process) { s.mu.Lock(); p.cutUntil = time.Now().Add(30 * time.Second); s.mu.Unlock() },
+	}
+
+	for name, fault := range cases {
+		// The fault comes at various times relative to the end of a window, also between the fix and the send of a report.
+		for _, after := range []time.Duration{
+			0, 700 * time.Millisecond, 1210 * time.Millisecond, 1260 * time.Millisecond, 1300 * time.Millisecond, 2 * time.Second, 4900 * time.Millisecond,
+		} {
+			t.Run(fmt.Sprint(name, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSite(uint64(after))
+					defer s.stop()
+
+					first := time.Now()
+					holding := s.start("a", true, true)
+
+					time.Sleep(2 * time.Second)
+					s.start("b", true, true)
+					time.Sleep(time.Until(time.Now().Truncate(windowLength).Add(4*windowLength + after)))
+					fault(s, holding)
+					time.Sleep(40 * time.Second)
+
+					for _, window := range windowsIn(first, time.Now().Add(-due)) {
+						assert.Assert(t, s.reported(window) >= 1, "window %d of %d was not reported in time", window, first.UnixNano()/int64(windowLength))
+					}
+
+					assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+				})
+			})
+		}
+	}
+}
+
+// Guards against each broken rule when holders are killed, shut down, replaced under the same name, frozen or partitioned, calls fail or arrive
+// late, and the store is away or restored from an older copy; and against a duty without a holder afterwards.
+func TestRulesHoldUnderFaults(t *testing.T) {
+	seeds := uint64(60)
+	if n, err := strconv.ParseUint(os.Getenv("DUTY_SEEDS"), 10, 32); err == nil {
+		seeds = n
+	}
+
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testFaults(t, seed) })
+		})
+	}
+}
+
+func testFaults(t *testing.T, seed uint64) {
+	t.Helper()
+
+	s := newSite(seed)
+	defer s.stop()
+
+	alive := map[string]*process{}
+
+	for _, vm := range []string{"a", "b", "c"} {
+		alive[vm] = s.start(vm, vm != "c", true)
+	}
+
+	time.Sleep(10 * time.Second)
+
+	s.faulty = true
+
+	for end := time.Now().Add(3 * time.Minute); time.Now().Before(end); {
+		time.Sleep(s.between(200*time.Millisecond, 4*time.Second))
+		s.disturb(alive)
+	}
+
+	s.mu.Lock()
+	s.faulty = false
+	s.downUntil = time.Time{}
+	s.mu.Unlock()
+
+	time.Sleep(20 * time.Second)
+	calm := time.Now()
+	time.Sleep(40 * time.Second)
+
+	for _, window := range windowsIn(calm, time.Now().Add(-due)) {
+		assert.Assert(t, s.reported(window) >= 1, "seed %d: window %d was not reported after the faults", seed, window)
+	}
+
+	assert.Equal(t, len(s.violations), 0, "seed %d: %v\n%s", seed, s.violations, strings.Join(s.events, "\n"))
+}
+
+// disturb makes one fault.
+func (s *site) disturb(alive map[string]*process) {
+	vm := []string{"a", "b", "c"}[s.pick(3)]
+	p := alive[vm]
+
+	switch s.pick(8) {
+	case 0:
+		p.kill()
+		alive[vm] = s.start(vm, true, false)
+	case 1:
+		p.cancel()
+		alive[vm] = s.start(vm, true, false)
+	case 2, 3:
+		until := time.Now().Add(s.between(100*time.Millisecond, 14*time.Second))
+		s.mu.Lock()
+		p.frozenUntil = until
+		s.mu.Unlock()
+	case 4:
+		until := time.Now().Add(s.between(100*time.Millisecond, 14*time.Second))
+		s.mu.Lock()
+		p.cutUntil = until
+		s.mu.Unlock()
+	case 5:
+		until := time.Now().Add(s.between(100*time.Millisecond, 12*time.Second))
+		s.mu.Lock()
+		s.downUntil = until
+		s.mu.Unlock()
+	case 6:
+		s.save()
+	case 7:
+		s.save()
+		time.Sleep(s.between(time.Millisecond, 8*time.Second))
+		s.restore()
+	}
+}
+
+func (s *site) pick(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.random.IntN(n)
+}
--- /dev/null
+++ b/internal/duty/usage/records.go
@@ -0,0 +1,168 @@
+package usage
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxProcesses is the number of processes of entries whose counts an agent keeps, and processTTL how long it keeps those of a process that
+	// reports no more.
+	maxProcesses = 512
+	processTTL   = time.Minute
+	// maxReported is the number of windows of a process that an agent keeps, and maxNameBytes the size of the longest name.
+	maxReported  = 8
+	maxNameBytes = 256
+)
+
+// Tally is what one process has counted in a window.
+type Tally struct {
+	Process string
+	Counts  Counts
+}
+
+// reported is what a process has reported.
+type reported struct {
+	at      time.Time
+	windows []Window
+}
+
+// Records holds what entries have reported to an agent. It is safe for concurrent use, and the zero value is ready to use.
+type Records struct {
+	mu        sync.Mutex
+	processes map[string]*reported
+}
+
+// Put records what a process has counted; it replaces what the process has reported for the same windows before.
+func (r *Records) Put(now time.Time, process string, windows []Window) {
+	if process == "" || len(process) > maxNameBytes {
+		return
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.forget(now, process)
+
+	found := r.processes[process]
+	if found == nil {
+		found = &reported{}
+		r.processes[process] = found
+	}
+
+	found.at = now
+
+	for _, window := range windows[:min(len(windows), maxReported)] {
+		found.put(window)
+	}
+}
+
+// put replaces a window, and keeps the latest ones.
+func (r *reported) put(window Window) {
+	window.Counts = bounded(window.Counts)
+	at, known := slices.BinarySearchFunc(r.windows, window.Number, func(w Window, number int64) int { return compare(w.Number, number) })
+
+	if known {
+		r.windows[at] = window
+		return
+	}
+
+	r.windows = slices.Insert(r.windows, at, window)
+
+	if excess := len(r.windows) - maxReported; excess > 0 {
+		r.windows = slices.Delete(r.windows, 0, excess)
+	}
+}
+
+func compare(a, b int64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// bounded returns the counts without those that cannot be true, and at most maxAccounts of them.
+func bounded(counts Counts) Counts {
+	kept := make(Counts, min(len(counts), maxAccounts))
+
+	for account, n := range counts {
+		if len(kept) < maxAccounts && n > 0 && len(account) <= maxNameBytes {
+			kept[account] = n
+		}
+	}
+
+	return kept
+}
+
+// forget removes the processes that report no more, and if there are too many the one that has been silent for longest, to make room for a
+// process. The lock must be held.
+func (r *Records) forget(now time.Time, process string) {
+	if r.processes == nil {
+		r.processes = map[string]*reported{}
+	}
+
+	oldest := ""
+
+	for name, found := range r.processes {
+		if now.Sub(found.at) > processTTL {
+			delete(r.processes, name)
+		} else if oldest == "" || found.at.Before(r.processes[oldest].at) {
+			oldest = name
+		}
+	}
+
+	if r.processes[process] == nil && len(r.processes) >= maxProcesses {
+		delete(r.processes, oldest)
+	}
+}
+
+// Get returns what processes have counted in a window.
+func (r *Records) Get(number int64) []Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var tallies []Tally
+
+	for process, found := range r.processes {
+		for _, window := range found.windows {
+			if window.Number == number {
+				tallies = append(tallies, Tally{Process: process, Counts: window.Counts})
+			}
+		}
+	}
+
+	return tallies
+}
+
+// Sum adds up what all processes have counted. Several agents may know the counts of one process; the highest of each client account is the
+// latest.
+func Sum(tallies []Tally) Counts {
+	byProcess := map[string]Counts{}
+
+	for _, tally := range tallies {
+		known := byProcess[tally.Process]
+		if known == nil {
+			known = Counts{}
+			byProcess[tally.Process] = known
+		}
+
+		for account, n := range tally.Counts {
+			known[account] = max(known[account], n)
+		}
+	}
+
+	total := Counts{}
+
+	for _, counts := range byProcess {
+		for account, n := range counts {
+			total[account] += n
+		}
+	}
+
+	return total
+}
--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/usage"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
@@ -86,6 +87,8 @@
 	origins origin.Records
 	// history holds the software versions of the servers of the service, as entries know them.
 	history origin.History
+	// usage holds what entries have counted for usage reports.
+	usage usage.Records
 	// ended is true from the end of the model server until it is recorded which responses it has broken off.
 	ended bool
 	// exchanges holds the requests whose outcome has not been sent yet.
--- a/internal/forward/agent/state.go
+++ b/internal/forward/agent/state.go
@@ -33,6 +33,7 @@
 		EvidenceUnchanged: unchanged.Evidence,
 		LimitsUnchanged:   unchanged.Limits,
 		ConfigVersion:     a.configVersion,
+		UnixMs:            time.Now().UnixMilli(),
 	}
 
 	wire.Software, wire.Sole = a.history.Sole(time.Now())
--- a/internal/forward/entry/entry.go
+++ b/internal/forward/entry/entry.go
@@ -93,6 +93,8 @@
 	MaxListAge time.Duration
 	// Entries returns the number of entries that share the common budgets, or a larger one; 0 if it is not known.
 	Entries func() int
+	// Usage counts the requests of client accounts; nil if they are not reported.
+	Usage Usage
 	// StartedAt is when the process started.
 	StartedAt time.Time
 
--- a/internal/forward/entry/response.go
+++ b/internal/forward/entry/response.go
@@ -155,6 +155,7 @@
 
 		if r.job.route.Stream && r.job.eventStream {
 			r.entry.recordBegin(r.job, r.server, r.startedAt)
+			r.entry.countBegin(r.job)
 		}
 	}
 
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -34,7 +34,9 @@
 	defer e.plainLoads.end(server.ID)
 
 	sentAt := time.Now()
+	decide := e.countSend(j)
 	last, info := e.PlainClient.Exchange(watch.ctx, server.Address, j.delivery(server, 0), watch.emit)
+	decide(last)
 	// From here on the job is used without the lock of the watch.
 	silent := watch.stop()
 
@@ -88,7 +90,7 @@
 }
 
 // relay sends the request to a model server through the agent on its VM and returns the outcome. Heartbeats of the agent go to emit as nil.
-func (e *Entry) relay(ctx context.Context, j *job, server fleet.Server, emit upstream.Emit) message.Event {
+func (e *Entry) relay(ctx context.Context, j *job, server fleet.Server, emit upstream.Emit) (last message.Event) {
 	version := e.minVersions.get(link.Adapter{Model: j.request.Model, Name: j.request.Adapter})
 	request := convert.DeliveryToWire(time.Now(), j.delivery(server, version))
 
@@ -101,6 +103,10 @@
 
 	defer func() { _ = stream.Close() }()
 
+	decide := func(message.Event) {}
+
+	defer func() { decide(last) }()
+
 	for {
 		wire, err := stream.Recv()
 		if err != nil {
@@ -109,6 +115,8 @@
 
 		event := convert.EventFromWire(wire)
 		switch event.(type) {
+		case message.RequestSent:
+			decide = e.countSend(j)
 		case message.Completed, message.Refused, message.Failed:
 			return event
 		}
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -90,6 +90,9 @@
 	cancel    context.CancelFunc
 	state     State
 	connected bool
+	// timeDifference is the time of day of the agent's VM less the local time; it is set if hasTime is true.
+	timeDifference time.Duration
+	hasTime        bool
 	// suspects lists the subjects of the crashes and holds that the agent has reported, and evidenceChanged is notified when the agent is
 	// to be told which of them are sound; its capacity is 1.
 	suspects        []string
@@ -322,6 +325,7 @@
 		l.updateState(agent, state)
 		l.receiveEvidence(agent, state)
 		l.receiveLimits(state)
+		l.receiveTime(agent, state)
 
 		if l.OnConfigVersion != nil {
 			l.OnConfigVersion(agent.id, state.GetConfigVersion())
--- /dev/null
+++ b/internal/forward/link/usage.go
@@ -0,0 +1,110 @@
+package link
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/usage"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
+)
+
+const (
+	// usageHolders is the number of agents that an entry has remember its counts.
+	usageHolders = 3
+	// usageTimeout limits one call about counts.
+	usageTimeout = 300 * time.Millisecond
+)
+
+// receiveTime records the difference between the time of day of the agent's VM and the local time.
+func (l *Links) receiveTime(agent *link, state *relay.State) {
+	if state.GetUnixMs() == 0 {
+		return
+	}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	agent.timeDifference = time.Duration(state.GetUnixMs())*time.Millisecond - freshness.Clock()
+	agent.hasTime = true
+}
+
+// TimeDifferences returns the differences between the time of day of the VMs of the connected agents and the local time.
+func (l *Links) TimeDifferences() []time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	var differences []time.Duration
+
+	for _, found := range l.links {
+		if found.connected && found.hasTime {
+			differences = append(differences, found.timeDifference)
+		}
+	}
+
+	return differences
+}
+
+// UsageClient passes on to agents what this entry has counted for usage reports, and reads what others have counted.
+type UsageClient struct {
+	Links *Links
+	// Entry is the name of this entry, and Process the id of this process.
+	Entry, Process string
+}
+
+// Record has agents remember what this entry has counted, always the same ones as long as they are connected.
+func (u *UsageClient) Record(ctx context.Context, windows []usage.Window) {
+	report := &relay.UsageReport{Entry: u.Entry, Process: u.Process, Windows: convert.UsageWindowsToWire(windows)}
+	addresses := u.Links.ranked(u.Entry)
+	done := make(chan struct{}, usageHolders)
+	asked := addresses[:min(len(addresses), usageHolders)]
+
+	for _, address := range asked {
+		go func() {
+			u.record(ctx, address, report)
+			done <- struct{}{}
+		}()
+	}
+
+	for range asked {
+		<-done
+	}
+}
+
+// record has the agent at an address remember the counts. After an error the next message replaces them, which has the counts of all windows.
+func (u *UsageClient) record(ctx context.Context, address string, report *relay.UsageReport) {
+	bounded, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+
+	_, _ = relay.NewDRPCRelayClient(u.Links.Pool.Get(address)).RecordUsage(bounded, report)
+}
+
+// Read returns what entries have counted in a window, as far as the connected agents know.
+func (u *UsageClient) Read(ctx context.Context, window int64) []usage.Tally {
+	bounded, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+
+	addresses := u.Links.ranked(u.Entry)
+	replies := make(chan *relay.UsageReply, len(addresses))
+
+	for _, address := range addresses {
+		go func() {
+			reply, _ := relay.NewDRPCRelayClient(u.Links.Pool.Get(address)).ReadUsage(bounded, &relay.UsageQuery{Number: window})
+			replies <- reply
+		}()
+	}
+
+	var tallies []usage.Tally
+
+	for range addresses {
+		select {
+		case <-bounded.Done():
+			return tallies
+		case reply := <-replies:
+			tallies = append(tallies, convert.UsageTalliesFromWire(reply.GetTallies())...)
+		}
+	}
+
+	return tallies
+}
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -63,7 +63,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	server := p.newEntry(background)
+	server, duties := p.newEntry(background)
 
 	if err := p.serveMetrics(background); err != nil {
 		return err
@@ -73,11 +73,14 @@
 		return err
 	}
 
+	duties.run(ctx, background)
+	defer duties.finish()
+
 	return p.serveClients(ctx, server)
 }
 
-// newEntry creates the entry and starts its background tasks, which run until the context ends.
-func (p *process) newEntry(ctx context.Context) *entry.Entry {
+// newEntry creates the entry and its duties, and starts its background tasks, which run until the context ends.
+func (p *process) newEntry(ctx context.Context) (*entry.Entry, *duties) {
 	settings := p.settings
 	pool := conn.New(conn.Dialer(upstream.DialTCP))
 	store := platform.NewStore(settings.StoreAddress)
@@ -135,6 +138,7 @@
 		follower.IsReader, follower.OnPublish = server.Links.IsReader, server.Links.NotifySettings
 	}
 
+	duties := p.newDuties(server, store)
 	servers.OnChange = server.Wake
 	server.RegisterGauges()
 
@@ -154,7 +158,7 @@
 		go p.reload(ctx, func(changed platform.Settings) { store.SetAddress(changed.StoreAddress) })
 	}
 
-	return server
+	return server, duties
 }
 
 func (p *process) serveReady(ctx context.Context, server *entry.Entry) error {
