Move streams before their server ends at short notice

Cause: a draining server whose row states the time left ends then, whatever it runs; its streams broke off and paused until another server had prefilled them.

Change: the row's remainingMs is taken over, and 1.5 s before the end the entry asks another server to go on with each resumable stream. The old server goes on until the other one sends its first piece; events that come twice are left out. The list keeps the end beside the rows, so that a row that is read again is no change.

Ruled out: to hand over when the other server has been sent the request, as for silent servers, since each moved stream would pause for the queue and the prefill.

--- a/internal/forward/entry/handover.go
+++ b/internal/forward/entry/handover.go
@@ -27,6 +27,9 @@
 	// ended is closed once last, the outcome, is set.
 	ended chan struct{}
 	last  message.Event
+	// leaving is true if the server is asked because the one that runs the request is about to end; head is then the head of its response.
+	leaving bool
+	head    message.Event
 	// sent is true once the other server has been sent the request, and handedOver once the silent one is given up. Only the goroutine of the
 	// handover uses them.
 	sent, handedOver bool
@@ -36,6 +39,7 @@
 func (w *silenceWatch) ask(next *job, server fleet.Server, silent error) {
 	ctx, cancel := context.WithCancel(w.parent)
 	h := &handover{server: server, cancel: cancel, ctx: ctx, events: make(chan message.Event), ended: make(chan struct{})}
+	h.leaving = errors.Is(silent, errServerLeaving)
 	w.asked = h
 
 	metric.Count(w.entry.Metrics, "silence.asked")
@@ -57,6 +61,10 @@
 		return h.pass(event)
 	}
 
+	if h.leaving {
+		return w.hearNext(h, next, event)
+	}
+
 	if _, sent := event.(message.RequestSent); !sent {
 		return nil
 	}
@@ -80,7 +88,7 @@
 	j := w.response.job
 	left, _ := w.untilSilent(time.Now())
 
-	if w.stopped.Load() || left > 0 || j.splitter.LastID != next.splitter.LastID || j.responseStarted != next.responseStarted {
+	if w.stopped.Load() || left > 0 || !w.isCurrent(next, silent) {
 		return false
 	}
 
--- /dev/null
+++ b/internal/forward/entry/leaving.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
+)
+
+const (
+	// moveMargin is the time before the end of a server at which its streams are moved to others. An entry may learn of the end up to half a second
+	// late, and the other server takes up to a second to begin.
+	moveMargin = 1500 * time.Millisecond
+	// leaveCheckPeriod is the time between two looks whether the server of a stream is about to end.
+	leaveCheckPeriod = 300 * time.Millisecond
+)
+
+var errServerLeaving = errors.New("the backend server is about to end")
+
+// movable reports whether the stream is moved to another server if its server is about to end.
+func (w *silenceWatch) movable() bool {
+	j := w.response.job
+
+	return j.service.Engine != nil && j.route.RetryPolicy == catalog.Resumable
+}
+
+// untilMove returns the time until the stream is to be moved; false if the end of the server is not known.
+func (w *silenceWatch) untilMove(now time.Time) (time.Duration, bool) {
+	if !w.movable() {
+		return 0, false
+	}
+
+	end, known := w.entry.Fleet.EndsAt(w.server)
+
+	return end.Sub(now) - moveMargin, known
+}
+
+// hearNext handles an event from the agent of the server to which a stream is moved. The server that is about to end goes on until the other one
+// sends the first piece of the response, so that the move makes no pause.
+func (w *silenceWatch) hearNext(h *handover, next *job, event message.Event) error {
+	switch e := event.(type) {
+	case message.RequestSent:
+		h.sent = true
+		return nil
+	case message.ResponseStarted:
+		if e.Head.Status != http.StatusOK || !e.Head.IsEventStream() {
+			return errTakenBack
+		}
+
+		h.head = event
+
+		return nil
+	case message.Data:
+	default:
+		return nil
+	}
+
+	if h.head == nil || !w.handOver(h, next, errServerLeaving) {
+		return errTakenBack
+	}
+
+	h.handedOver = true
+
+	if err := h.pass(h.head); err != nil {
+		return err
+	}
+
+	return h.pass(event)
+}
+
+// isCurrent reports whether the response is where it was when another server was asked. A server that is about to end goes on meanwhile, and what
+// the other one sends again is left out. The lock must be held.
+func (w *silenceWatch) isCurrent(next *job, reason error) bool {
+	j := w.response.job
+	if j.responseStarted != next.responseStarted {
+		return false
+	}
+
+	if errors.Is(reason, errServerLeaving) {
+		return j.bound == next.bound && next.splitter.LastID <= j.splitter.LastID
+	}
+
+	return j.splitter.LastID == next.splitter.LastID
+}
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -132,7 +132,7 @@
 func (w *silenceWatch) observe(now time.Time, event message.Event) {
 	w.heardAt = now
 
-	if event != nil {
+	if event != nil && w.asked != nil && !w.asked.leaving {
 		w.takeBack()
 	}
 
@@ -150,8 +150,19 @@
 	}
 }
 
-// untilSilent returns the time until the agent or the server has sent nothing for too long, and the error for the one that is first.
+// untilSilent returns the time until the agent or the server has sent nothing for too long, or the server is about to end, and the error for what
+// is first.
 func (w *silenceWatch) untilSilent(now time.Time) (time.Duration, error) {
+	left, err := w.untilSilence(now)
+	if move, known := w.untilMove(now); known && move < left {
+		return move, errServerLeaving
+	}
+
+	return left, err
+}
+
+// untilSilence returns the time until the agent or the server has sent nothing for too long, and the error for the one that is first.
+func (w *silenceWatch) untilSilence(now time.Time) (time.Duration, error) {
 	left, err := w.readTimeout, errServerSilent
 
 	if !w.progressAt.IsZero() {
@@ -221,6 +232,10 @@
 		return
 	}
 
+	if w.movable() {
+		wait = min(wait, leaveCheckPeriod)
+	}
+
 	w.dueAt = time.Now().Add(wait)
 
 	if w.timer == nil {
@@ -241,7 +256,7 @@
 // takeOver gives up the server if another one can take the request over and the retry budget allows it, and reports whether it did. The
 // response may have gone on during the search. If the agent of the server is heard, the other one is asked first.
 func (w *silenceWatch) takeOver(next *job, silent error) bool {
-	asks := next.service.Engine != nil && errors.Is(silent, errServerSilent)
+	asks := next.service.Engine != nil && errors.IsAny(silent, errServerSilent, errServerLeaving)
 	if asks {
 		next.gaveUp = nil
 	}
--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -18,6 +18,9 @@
 	Slots   int
 	// Draining is true if the server takes no new requests.
 	Draining bool
+	// Remaining is how long the server serves from when it was listed as draining; 0 if that is not stated. Fleet.EndsAt tells when that is: two
+	// rows with the same content are equal.
+	Remaining time.Duration
 	// StartedAt is when the server process started, in Unix milliseconds; 0 if it is not known. A server may start again under
 	// the id that it had.
 	StartedAt int64
@@ -49,6 +52,8 @@
 	servers map[string]Server
 	// removeAt holds when servers are removed that vanished from the list and stay in use until then.
 	removeAt map[string]time.Time
+	// endsAt holds when draining servers end that state it.
+	endsAt map[string]time.Time
 	// left holds the servers that were removed within leftRetention.
 	left map[string]departure
 	// evacuations holds the evacuations by failure domain.
@@ -83,6 +88,7 @@
 			f.recordVersion(now, before)
 		}
 
+		f.recordEnd(now, server)
 		f.servers[server.ID] = server
 		delete(f.removeAt, server.ID)
 		delete(f.left, server.ID)
@@ -101,6 +107,34 @@
 	return changed
 }
 
+// recordEnd records when a draining server ends, unless that is known. The lock must be held.
+func (f *Fleet) recordEnd(now time.Time, server Server) {
+	if !server.Draining || server.Remaining <= 0 {
+		delete(f.endsAt, server.ID)
+		return
+	}
+
+	if _, known := f.endsAt[server.ID]; known && f.servers[server.ID] == server {
+		return
+	}
+
+	if f.endsAt == nil {
+		f.endsAt = map[string]time.Time{}
+	}
+
+	f.endsAt[server.ID] = now.Add(server.Remaining)
+}
+
+// EndsAt returns when the process of a server ends, whatever it runs; false if that is not known.
+func (f *Fleet) EndsAt(server Server) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	at, known := f.endsAt[server.ID]
+
+	return at, known && f.servers[server.ID].StartedAt == server.StartedAt
+}
+
 // Remove removes a server that vanished from the list, at the given time unless it is listed again before. It reports whether
 // the server was listed.
 func (f *Fleet) Remove(now time.Time, id string, at time.Time) bool {
@@ -137,6 +171,7 @@
 
 	delete(f.servers, id)
 	delete(f.removeAt, id)
+	delete(f.endsAt, id)
 }
 
 // HasLeft reports whether the process of a server was removed within the last ten minutes and not listed since.
--- a/internal/forward/fleet/fleet_test.go
+++ b/internal/forward/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -45,3 +46,38 @@
 		})
 	}
 }
+
+// Guards against an end of a server that moves each time its row is read again, or that stays when the server starts anew.
+func TestEndsAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet.Fleet{}
+		server := fleet.Server{ID: "a", Service: "s", StartedAt: 5}
+		f.Put(server)
+
+		_, known := f.EndsAt(server)
+		assert.Assert(t, !known)
+
+		leaving := server
+		leaving.Draining, leaving.Remaining = true, 8*time.Second
+		f.Put(leaving)
+
+		end := time.Now().Add(8 * time.Second)
+
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !f.Put(leaving), "a row that is read again is no change")
+
+		at, known := f.EndsAt(server)
+		assert.Assert(t, known)
+		assert.Equal(t, at, end)
+
+		f.Put(fleet.Server{ID: "a", Service: "s", StartedAt: 6, Draining: true, Remaining: time.Second})
+
+		_, known = f.EndsAt(server)
+		assert.Assert(t, !known, "another process has taken the id")
+
+		f.Remove(time.Now(), "a", time.Now())
+
+		_, known = f.EndsAt(fleet.Server{ID: "a", StartedAt: 6})
+		assert.Assert(t, !known)
+	})
+}
