Order servers by the load of a service in a failure domain

Cause: where the configuration has "scale" for a service, the platform lets one VM at a time set the number of its servers, and nothing did.

Change: an entry that watches the store for the others looks at the load once a second, orders more servers at once when requests would take more than 70% of the slots, and fewer after they have sufficed for longer than a server takes to start. It takes the lease of the service and domain only for an order. Fencing tokens now follow the version of the row: a late write of before a restore could replace the row of a holder, so that the next one took the same token.

Ruled out: to hold the lease all the time (a write for each subject every few seconds), and to decide before all servers are listed (fewer than there are would be ordered).

--- a/internal/duty/holder/fake_test.go
+++ b/internal/duty/holder/fake_test.go
@@ -33,6 +33,8 @@
 	// faulty is true while calls fail at random.
 	faulty bool
 
+	// key is that of the only row.
+	key          string
 	version, era int64
 	row          *lease.Row
 	rowVersion   int64
@@ -42,6 +44,7 @@
 
 	processes []*process
 	calls     []call
+	orders    []order
 	// violations lists broken rules, and events what led to them.
 	violations, events []string
 }
@@ -78,10 +81,17 @@
 	excused bool
 }
 
+// order is a scaling order.
+type order struct {
+	process *process
+	fence   int64
+	order   holder.ScaleOrder
+}
+
 var errFault = errors.New("the call failed")
 
 func newSite(seed uint64) *site {
-	return &site{random: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(), changed: make(chan struct{})}
+	return &site{random: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(), changed: make(chan struct{}), key: "usage_report"}
 }
 
 // start starts a process.
@@ -201,7 +211,7 @@
 
 	if rows && s.row != nil {
 		row := *s.row
-		page.Rows["usage_report"] = holder.Row{Version: s.rowVersion, Row: &row}
+		page.Rows[s.key] = holder.Row{Version: s.rowVersion, Row: &row}
 	}
 
 	return page
@@ -366,7 +376,28 @@
 }
 
 // Scale implements holder.Platform.
-func (p *process) Scale(context.Context, holder.Token, holder.ScaleOrder) error {
+func (p *process) Scale(ctx context.Context, token holder.Token, wanted holder.ScaleOrder) error {
+	if err := p.pass(ctx); err != nil {
+		return err
+	}
+
+	if p.site.chance(50) {
+		return &holder.RefusedError{Status: 429}
+	}
+
+	s := p.site
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, earlier := range s.orders {
+		if earlier.fence > token.Fence || earlier.fence == token.Fence && earlier.process != p {
+			s.violations = append(s.violations, fmt.Sprintf("token %d of %s after %d", token.Fence, p.self.Process, earlier.fence))
+		}
+	}
+
+	s.orders = append(s.orders, order{process: p, fence: token.Fence, order: wanted})
+
 	return nil
 }
 
--- /dev/null
+++ b/internal/duty/holder/scaler_test.go
@@ -0,0 +1,151 @@
+package holder_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/holder"
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/lease"
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/scale"
+)
+
+// startScaler starts a process that orders servers of a service with 4 servers of 10 slots.
+func (s *site) startScaler(vm string, running *atomic.Int64) *process {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+
+	p := &process{site: s, self: lease.Holder{VM: vm, Process: fmt.Sprint("process-", len(s.processes))}, reader: true, ended: make(chan struct{})}
+	s.processes = append(s.processes, p)
+	boot := time.Now().Add(-time.Hour)
+
+	scaler := &holder.Scaler{
+		Store: p, Platform: p, Self: p.self, MinTenure: minTenure, FirstStart: true, Log: log, Metrics: metrics.NewRegistry(),
+		Clock:       func() time.Duration { return time.Since(boot) },
+		IsCandidate: func() bool { return p.reader },
+		Loads: func() []scale.Load {
+			return []scale.Load{{
+				Subject: scale.Subject{Service: "chat", Domain: "d1"}, Bounds: scale.Bounds{Min: 2, Max: 8, Boot: 20 * time.Second},
+				Servers: 4, Slots: 10, Running: float64(running.Load()), Known: true,
+			}}
+		},
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+
+	go func() {
+		scaler.Run(ctx)
+		close(p.ended)
+	}()
+
+	return p
+}
+
+// servers returns the numbers of servers that were ordered.
+func (s *site) servers() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	numbers := make([]int, len(s.orders))
+	for i, made := range s.orders {
+		numbers[i] = made.order.Servers
+	}
+
+	return numbers
+}
+
+// Guards against orders that two entries both send or that flip between them, and against calls while nothing changes.
+func TestServersAreOrderedOnceForEachChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(1)
+		s.key = "scale/chat/d1"
+
+		defer s.stop()
+
+		var running atomic.Int64
+
+		running.Store(25)
+
+		processes := []*process{s.startScaler("a", &running), s.startScaler("b", &running)}
+
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(s.servers()), 0)
+
+		for _, p := range processes {
+			assert.Equal(t, p.reads+p.writes+p.polls, 0)
+		}
+
+		running.Store(40)
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, s.servers(), []int{6})
+
+		running.Store(12)
+		time.Sleep(15 * time.Second)
+		assert.DeepEqual(t, s.servers(), []int{6})
+
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, s.servers(), []int{6, 2})
+
+		calls := 0
+		for _, p := range processes {
+			calls += p.reads + p.writes
+		}
+
+		time.Sleep(time.Minute)
+
+		for _, p := range processes {
+			calls -= p.reads + p.writes
+		}
+
+		assert.Equal(t, calls, 0)
+		assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+	})
+}
+
+// Guards against an order that is lost when it is refused, its sender ends or calls of the store fail, and against broken rules then.
+func TestServersAreOrderedUnderFaults(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(seed)
+				s.key = "scale/chat/d1"
+
+				defer s.stop()
+
+				var running atomic.Int64
+
+				running.Store(25)
+
+				first := s.startScaler("a", &running)
+				s.startScaler("b", &running)
+				time.Sleep(2 * time.Second)
+
+				s.faulty = true
+
+				running.Store(50)
+				time.Sleep(s.between(time.Second, 4*time.Second))
+				first.kill()
+				time.Sleep(30 * time.Second)
+
+				s.mu.Lock()
+				s.faulty = false
+				s.mu.Unlock()
+				time.Sleep(30 * time.Second)
+
+				ordered := s.servers()
+				assert.Assert(t, len(ordered) > 0)
+				assert.Equal(t, ordered[len(ordered)-1], 8)
+				assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+			})
+		})
+	}
+}
--- a/internal/duty/holder/subject.go
+++ b/internal/duty/holder/subject.go
@@ -203,7 +203,14 @@
 
 // release gives up the lease, so that another VM can take it at once.
 func (s *subject) release() {
-	write, ok := s.lease.Release(s.clock())
+	if row := s.lease.Row(); row != nil {
+		s.releaseWith(row.Content)
+	}
+}
+
+// releaseWith gives up the lease, and leaves new content in the row.
+func (s *subject) releaseWith(content lease.Content) {
+	write, ok := s.lease.Release(s.clock(), content)
 	if !ok {
 		return
 	}
--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -273,7 +273,7 @@
 	requested := r.Counting.Clock()
 	err := r.Platform.Report(bounded, Token{VM: r.Self.VM, Fence: fence}, report)
 	log := r.Log.WithFields(logrus.Fields{fieldWindow: report.Window, fieldFence: fence, "took": (r.Counting.Clock() - requested).Milliseconds()})
-	r.nextTry = r.Counting.Clock() + r.retryAfter()
+	r.nextTry = r.Counting.Clock() + retryAfter(r.CallRate)
 
 	if err == nil {
 		r.book.Done(report.Window)
@@ -294,11 +294,11 @@
 	log.WithError(err).Warn("usage report refused or not answered")
 }
 
-// retryAfter returns the time between two calls, so that the duty stays within its part of the rate of calls.
-func (r *UsageReporter) retryAfter() time.Duration {
-	if r.CallRate <= 0 {
+// retryAfter returns the time between two calls of a duty, so that it stays within its part of the rate of calls.
+func retryAfter(rate float64) time.Duration {
+	if rate <= 0 {
 		return reportRetry
 	}
 
-	return max(reportRetry, time.Duration(float64(time.Second)/(rateShare*r.CallRate)))
+	return max(reportRetry, time.Duration(min(float64(time.Second)/(rateShare*rate), float64(time.Hour))))
 }
--- a/internal/duty/lease/lease.go
+++ b/internal/duty/lease/lease.go
@@ -310,10 +310,11 @@
 
 // take returns the write that makes this process the holder.
 func (l *Lease) take(now time.Duration, content Content) Write {
-	row := Row{Holder: l.Self, Fence: l.era<<eraShift + 1}
+	// Versions rise within an era, so that the token does too, whatever the row holds: a late write of before a restore may have replaced it.
+	row := Row{Holder: l.Self, Fence: l.era<<eraShift + l.version + 1}
 
 	if l.row != nil {
-		row.Fence = max(l.row.Fence, l.era<<eraShift) + 1
+		row.Fence = max(row.Fence, l.row.Fence+1)
 		row.Former = l.formerAfterTake(now)
 	}
 
@@ -353,15 +354,16 @@
 	return *l.pending
 }
 
-// Release returns the write that ends the lease of this process; false if it does not hold it.
-func (l *Lease) Release(now time.Duration) (Write, bool) {
+// Release returns the write that ends the lease of this process, with the content that stays in the row; false if it does not hold it. The row is
+// read again before the next write.
+func (l *Lease) Release(now time.Duration, content Content) (Write, bool) {
 	if !l.known || !l.IsOwn() || l.stale || l.Left(now) == 0 {
 		return Write{}, false
 	}
 
-	released := l.write(now, *l.row, l.row.Content)
+	released := l.write(now, *l.row, content)
 	released.Row.Expires = l.latest(now)
-	l.pending, l.held = nil, false
+	l.pending, l.held, l.known = nil, false, false
 
 	return released, true
 }
--- a/internal/duty/lease/lease_test.go
+++ b/internal/duty/lease/lease_test.go
@@ -102,7 +102,7 @@
 
 	write, ok := l.Next(local, lease.Content{NextWindow: 3})
 	assert.Assert(t, ok)
-	assert.Equal(t, write.Row.Fence, int64(6))
+	assert.Equal(t, write.Row.Fence, int64(8))
 	assert.Equal(t, write.Expected, int64(7))
 	assert.DeepEqual(t, write.Row.Former, []lease.Former{{VM: other.VM, LostAt: clock - time.Second}})
 	l.Confirm(write, lease.Answer{Requested: local, Answered: local + latency, Clock: clock + latency, Version: 8})
@@ -119,7 +119,7 @@
 	later := local + 5*time.Second
 	write, ok := l.Next(later, lease.Content{NextWindow: 4})
 	assert.Assert(t, ok)
-	assert.Equal(t, write.Row.Fence, int64(6))
+	assert.Equal(t, write.Row.Fence, int64(8))
 	assert.Equal(t, l.Left(later), 2*time.Second, "a write that is under way does not prolong the lease")
 	assert.Assert(t, write.Row.Expires >= clock+5*time.Second+lease.Duration)
 
@@ -187,7 +187,7 @@
 
 	write, ok := l.Next(local+3*time.Second, lease.Content{})
 	assert.Assert(t, ok, "a lease that is running goes on in the next era")
-	assert.Equal(t, write.Row.Fence, int64(6))
+	assert.Equal(t, write.Row.Fence, int64(8))
 	assert.Equal(t, write.Row.Era, int64(1))
 
 	l = taken(t)
@@ -200,7 +200,7 @@
 
 	write, ok = l.Next(local+6*time.Second+waits, lease.Content{})
 	assert.Assert(t, ok)
-	assert.Equal(t, write.Row.Fence, int64(1<<32+1))
+	assert.Equal(t, write.Row.Fence, int64(1<<32+5))
 }
 
 // Guards against a write at a version that was read long ago: a restored store gives it out again, possibly to another holder.
@@ -216,12 +216,12 @@
 // Guards against a lease that is held on after its release, or released although another one may hold it.
 func TestRelease(t *testing.T) {
 	l := taken(t)
-	write, ok := l.Release(local + time.Second)
+	write, ok := l.Release(local+time.Second, lease.Content{NextWindow: 3})
 	assert.Assert(t, ok)
 	assert.Equal(t, l.Left(local+time.Second), time.Duration(0))
 	assert.Assert(t, write.Row.Expires <= clock+time.Second+latency)
 	assert.Equal(t, write.Row.Content.NextWindow, int64(3))
 
-	_, ok = taken(t).Release(local + lease.Duration)
+	_, ok = taken(t).Release(local+lease.Duration, lease.Content{})
 	assert.Assert(t, !ok, "the lease has expired")
 }
--- a/internal/forward/catalog/catalog.go
+++ b/internal/forward/catalog/catalog.go
@@ -70,6 +70,15 @@
 	ColdRate float64
 	// Engine describes the model servers of the service. It is nil for a plain service, whose servers run no models.
 	Engine *Engine
+	// Scale bounds the number of servers in each failure domain that the system orders; nil if it orders none.
+	Scale *Scale
+}
+
+// Scale bounds the number of servers of a service in each failure domain.
+type Scale struct {
+	Min, Max int
+	// Boot is the time from an order until the new server serves.
+	Boot time.Duration
 }
 
 // Engine describes the model servers of a service.
--- a/internal/program/hosted/duties.go
+++ b/internal/program/hosted/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
@@ -19,37 +20,54 @@
 
 // duties runs the duties of one VM in an entry. A nil pointer runs none.
 type duties struct {
+	// counting and reporter are nil if usage is not reported, and scaler is nil if no servers are ordered.
 	counting *holder.Counting
 	reporter *holder.UsageReporter
-	// released is closed once the lease is released at the end of the process.
-	released chan struct{}
+	scaler   *holder.Scaler
+	// running is done once the leases are released at the end of the process.
+	running sync.WaitGroup
 }
 
 // newDuties returns the duties that the settings ask for; nil if they ask for none.
 func (p *process) newDuties(server *entry.Entry, store *platform.Store) *duties {
-	settings := p.settings
-	if settings.Cloud == nil || !settings.Cloud.UsageReports {
+	if p.settings.Cloud == nil {
 		return nil
 	}
 
-	self := lease.Holder{VM: settings.VM, Process: ident.New("entry")}
+	d := &duties{}
+	self := lease.Holder{VM: p.settings.VM, Process: ident.New("entry")}
+	cloud := platform.NewCloud(p.settings.Cloud.Address)
+	rows := &platform.DutyStore{Store: store}
+
+	if p.settings.Cloud.UsageReports {
+		p.addReporter(d, server, self, rows, cloud)
+	}
+
+	if p.settings.Cloud.Scaling {
+		d.scaler = &holder.Scaler{
+			Store: rows, Platform: cloud, Loads: server.ServiceLoads, Clock: freshness.Clock, Self: self, IsCandidate: server.Links.IsReader,
+			MinTenure: p.settings.Bounds.MinTenure, CallRate: p.settings.Cloud.CallRate, FirstStart: p.settings.FirstStart, Log: p.log, Metrics: p.metrics,
+		}
+	}
+
+	return d
+}
+
+// addReporter adds the duty of the usage reports.
+func (p *process) addReporter(d *duties, server *entry.Entry, self lease.Holder, rows *platform.DutyStore, cloud *platform.Cloud) {
+	settings := p.settings
 	client := &link.UsageClient{Links: server.Links, Entry: settings.VM, Process: self.Process}
-	counting := &holder.Counting{
+	d.counting = &holder.Counting{
 		Counter: &usage.Counter{Length: settings.Bounds.ReportWindow, Due: settings.Bounds.MaxReportDelay}, Clock: freshness.Clock,
 		Differences: server.Links.TimeDifferences,
 		Own:         func() time.Duration { return time.Duration(time.Now().UnixNano()) - freshness.Clock() },
 		Record:      client.Record,
 	}
-	server.Usage = counting
-
-	return &duties{
-		counting: counting,
-		reporter: &holder.UsageReporter{
-			Store: &platform.DutyStore{Store: store}, Platform: platform.NewCloud(settings.Cloud.Address), Tallies: client, Counting: counting,
-			Self: self, IsCandidate: server.Links.IsReader, Due: settings.Bounds.MaxReportDelay, MinTenure: settings.Bounds.MinTenure,
-			CallRate: settings.Cloud.CallRate, FirstStart: settings.FirstStart, Log: p.log, Metrics: p.metrics,
-		},
-		released: make(chan struct{}),
+	server.Usage = d.counting
+	d.reporter = &holder.UsageReporter{
+		Store: rows, Platform: cloud, Tallies: client, Counting: d.counting, Self: self, IsCandidate: server.Links.IsReader,
+		Due: settings.Bounds.MaxReportDelay, MinTenure: settings.Bounds.MinTenure, CallRate: settings.Cloud.CallRate, FirstStart: settings.FirstStart,
+		Log: p.log, Metrics: p.metrics,
 	}
 }
 
@@ -59,14 +77,17 @@
 		return
 	}
 
-	go d.counting.Run(background)
-	go func() {
-		d.reporter.Run(ctx)
-		close(d.released)
-	}()
+	if d.reporter != nil {
+		go d.counting.Run(background)
+		d.running.Go(func() { d.reporter.Run(ctx) })
+	}
+
+	if d.scaler != nil {
+		d.running.Go(func() { d.scaler.Run(ctx) })
+	}
 }
 
-// finish passes on the last counts, and waits until the lease is released.
+// finish passes on the last counts, and waits until the leases are released.
 func (d *duties) finish() {
 	if d == nil {
 		return
@@ -75,10 +96,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), flushUsageTimeout)
 	defer cancel()
 
-	d.counting.Flush(ctx)
+	if d.counting != nil {
+		d.counting.Flush(ctx)
+	}
+
+	released := make(chan struct{})
+
+	go func() {
+		d.running.Wait()
+		close(released)
+	}()
 
 	select {
-	case <-d.released:
+	case <-released:
 	case <-ctx.Done():
 	}
 }
