Release the lease of the usage reports without agents

Cause: an entry that reaches the store but no agents counts as a candidate for every role. As the holder it would report its own counts only.

Change: an entry takes and keeps the lease only while at least half of the agents are connected, or the fleet has none. Calls that follow each other keep to the rate of calls, and an answer that does not state the store's clock no longer counts as 0.

--- a/internal/duty/holder/fake_test.go
+++ b/internal/duty/holder/fake_test.go
@@ -67,7 +67,7 @@
 	cancel                context.CancelFunc
 	ended                 chan struct{}
 	frozenUntil, cutUntil time.Time
-	dead                  bool
+	dead, blind           bool
 	reader                bool
 	writes, polls, reads  int
 }
@@ -114,6 +114,7 @@
 	}
 	p.reporter = &holder.UsageReporter{
 		Store: p, Platform: p, Tallies: tallies{p}, Counting: counting, Self: p.self, IsCandidate: func() bool { return p.reader }, Due: due,
+		CanCount:  func() bool { return !p.isBlind() },
 		MinTenure: minTenure, FirstStart: firstStart, Log: log, Metrics: metrics.NewRegistry(),
 	}
 
@@ -137,6 +138,14 @@
 	p.cancel()
 }
 
+// isBlind reports whether the process reaches no agents.
+func (p *process) isBlind() bool {
+	p.site.mu.Lock()
+	defer p.site.mu.Unlock()
+
+	return p.blind
+}
+
 // chance reports true with a probability in percent while calls fail at random.
 func (s *site) chance(percent int) bool {
 	s.mu.Lock()
--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -47,6 +47,8 @@
 	Self lease.Holder
 	// IsCandidate reports whether this entry may take the lease.
 	IsCandidate func() bool
+	// CanCount reports whether this entry reaches enough agents to know the counts of the other entries.
+	CanCount func() bool
 	// Due is the time from the end of a window until its report must have arrived, and MinTenure the time within which holders must not act in
 	// the order A, B, A.
 	Due, MinTenure time.Duration
@@ -93,6 +95,9 @@
 	switch {
 	case !known:
 		r.subject.pause(ctx, placePeriod)
+	case !r.CanCount():
+		r.subject.release()
+		r.subject.pause(ctx, rolePeriod)
 	case r.subject.lease.IsOwn():
 		r.serve(ctx)
 	case r.IsCandidate():
@@ -277,7 +282,7 @@
 
 	if err == nil {
 		r.book.Done(report.Window)
-		r.nextTry = 0
+		r.nextTry = r.Counting.Clock() + callSpacing(r.CallRate)
 		metric.Count(r.Metrics, "duty.report.sent")
 		log.Info("usage report sent")
 
@@ -296,9 +301,14 @@
 
 // retryAfter returns the time between two calls of a duty, so that it stays within its part of the rate of calls.
 func retryAfter(rate float64) time.Duration {
+	return max(reportRetry, callSpacing(rate))
+}
+
+// callSpacing returns the least time between two calls of a duty; 0 if the rate of calls is not limited.
+func callSpacing(rate float64) time.Duration {
 	if rate <= 0 {
-		return reportRetry
+		return 0
 	}
 
-	return max(reportRetry, time.Duration(min(float64(time.Second)/(rateShare*rate), float64(time.Hour))))
+	return time.Duration(min(float64(time.Second)/(rateShare*rate), float64(time.Hour)))
 }
--- a/internal/duty/holder/usage_test.go
+++ b/internal/duty/holder/usage_test.go
@@ -84,8 +84,9 @@
 // Guards against a duty that stays without a holder, or a report that a successor lacks or changes, when the holder ends in some way.
 func TestSuccessorReportsInTime(t *testing.T) {
 	cases := map[string]func(s *site, p *process){
-		"killed":    func(_ *site, p *process) { p.kill() },
-		"shut down": func(_ *site, p *process) { p.cancel() },
+		"killed":              func(_ *site, p *process) { p.kill() },
+		"shut down":           func(_ *site, p *process) { p.cancel() },
+		"cut off from agents": func(s *site, p *process) { s.mu.Lock(); p.blind = true; s.mu.Unlock() },
 		"frozen": func(s *site, p *process) {
 			s.mu.Lock()
 			p.frozenUntil = time.Now().Add(30 * time.Second)
@@ -163,6 +164,11 @@
 	s.mu.Lock()
 	s.faulty = false
 	s.downUntil = time.Time{}
+
+	for _, p := range s.processes {
+		p.blind = false
+	}
+
 	s.mu.Unlock()
 
 	time.Sleep(20 * time.Second)
@@ -181,7 +187,7 @@
 	vm := []string{"a", "b", "c"}[s.pick(3)]
 	p := alive[vm]
 
-	switch s.pick(8) {
+	switch s.pick(9) {
 	case 0:
 		p.kill()
 		alive[vm] = s.start(vm, true, false)
@@ -203,6 +209,10 @@
 		s.mu.Lock()
 		s.downUntil = until
 		s.mu.Unlock()
+	case 8:
+		s.mu.Lock()
+		p.blind = !p.blind
+		s.mu.Unlock()
 	case 6:
 		s.save()
 	case 7:
--- a/internal/duty/lease/lease.go
+++ b/internal/duty/lease/lease.go
@@ -68,7 +68,7 @@
 type Answer struct {
 	// Requested and Answered are local times.
 	Requested, Answered time.Duration
-	// Clock is the reading of the store's clock, and Era the number of its restores.
+	// Clock is the reading of the store's clock; 0 if the answer does not state it. Era is the number of its restores.
 	Clock time.Duration
 	Era   int64
 	// Row is nil if the row does not exist, and Version its version; 0 if it does not exist.
@@ -189,8 +189,12 @@
 	return wasOwn && !l.IsOwn()
 }
 
-// mapClock keeps the store's clock of the latest answer.
+// mapClock keeps the store's clock of the latest answer that states it.
 func (l *Lease) mapClock(answer Answer, restored bool) {
+	if answer.Clock == 0 {
+		return
+	}
+
 	if restored || answer.Answered >= l.answered {
 		l.clock, l.requested, l.answered = answer.Clock, answer.Requested, answer.Answered
 	}
--- a/internal/duty/lease/lease_test.go
+++ b/internal/duty/lease/lease_test.go
@@ -225,3 +225,15 @@
 	_, ok = taken(t).Release(local+lease.Duration, lease.Content{})
 	assert.Assert(t, !ok, "the lease has expired")
 }
+
+// Guards against a lease that seems to be expired because an answer to a write does not state the store's clock.
+func TestAnswerWithoutClock(t *testing.T) {
+	l := taken(t)
+	write, ok := l.Next(local+5*time.Second, lease.Content{})
+	assert.Assert(t, ok)
+	l.Confirm(write, lease.Answer{Requested: local + 5*time.Second, Answered: local + 5*time.Second + latency, Version: 9})
+
+	write, ok = l.Next(local+10*time.Second, lease.Content{})
+	assert.Assert(t, ok)
+	assert.Assert(t, write.Row.Expires >= clock+10*time.Second+lease.Duration)
+}
--- /dev/null
+++ b/internal/forward/agent/usage_test.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
+)
+
+// Guards against counts of a process that add up instead of being replaced, and against those of another window.
+func TestUsageIsRemembered(t *testing.T) {
+	a := &Agent{}
+	record := func(process string, number, count int64) {
+		_, err := a.RecordUsage(t.Context(), &relay.UsageReport{Entry: "vm-1", Process: process, Windows: []*relay.UsageWindow{
+			{Number: number, Counts: []*relay.UsageCount{{Account: "acme", Count: count}}},
+		}})
+		assert.NilError(t, err)
+	}
+
+	record("p-1", 7, 3)
+	record("p-1", 7, 5)
+	record("p-1", 8, 9)
+	record("p-2", 7, 2)
+
+	reply, err := a.ReadUsage(t.Context(), &relay.UsageQuery{Number: 7})
+	assert.NilError(t, err)
+
+	counts := map[string]int64{}
+	for _, tally := range reply.GetTallies() {
+		counts[tally.GetProcess()] = tally.GetCounts()[0].GetCount()
+	}
+
+	assert.DeepEqual(t, counts, map[string]int64{"p-1": 5, "p-2": 2})
+}
--- a/internal/forward/link/usage.go
+++ b/internal/forward/link/usage.go
@@ -46,6 +46,23 @@
 	return differences
 }
 
+// HasMostAgents reports whether at least half of the agents are connected, and any is. The counts of an entry are with three agents, so that one that
+// reaches fewer agents may miss those of many entries.
+func (l *Links) HasMostAgents() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	connected := 0
+
+	for _, found := range l.links {
+		if found.connected {
+			connected++
+		}
+	}
+
+	return connected > 0 && 2*connected >= len(l.links)
+}
+
 // UsageClient passes on to agents what this entry has counted for usage reports, and reads what others have counted.
 type UsageClient struct {
 	Links *Links
--- a/internal/program/hosted/duties.go
+++ b/internal/program/hosted/duties.go
@@ -66,7 +66,8 @@
 	server.Usage = d.counting
 	d.reporter = &holder.UsageReporter{
 		Store: rows, Platform: cloud, Tallies: client, Counting: d.counting, Self: self, IsCandidate: server.Links.IsReader,
-		Due: settings.Bounds.MaxReportDelay, MinTenure: settings.Bounds.MinTenure, CallRate: settings.Cloud.CallRate, FirstStart: settings.FirstStart,
+		CanCount: func() bool { return server.Links.HasMostAgents() || server.WithoutAgents() },
+		Due:      settings.Bounds.MaxReportDelay, MinTenure: settings.Bounds.MinTenure, CallRate: settings.Cloud.CallRate, FirstStart: settings.FirstStart,
 		Log: p.log, Metrics: p.metrics,
 	}
 }
