Guard the faults of the duty tests by their lock

Cause: the race detector reported that tests set a field of the fake store without its lock. Only tests are changed.

--- a/internal/duty/holder/scaler_test.go
+++ b/internal/duty/holder/scaler_test.go
@@ -129,7 +129,9 @@
 				s.startScaler("b", &running)
 				time.Sleep(2 * time.Second)
 
+				s.mu.Lock()
 				s.faulty = true
+				s.mu.Unlock()
 
 				running.Store(50)
 				time.Sleep(s.between(time.Second, 4*time.Second))
--- a/internal/duty/holder/usage_test.go
+++ b/internal/duty/holder/usage_test.go
@@ -154,7 +154,9 @@
 
 	time.Sleep(10 * time.Second)
 
+	s.mu.Lock()
 	s.faulty = true
+	s.mu.Unlock()
 
 	for end := time.Now().Add(3 * time.Minute); time.Now().Before(end); {
 		time.Sleep(s.between(200*time.Millisecond, 4*time.Second))
