Report no usage that lacks the counts of other entries

Cause: in a fleet of several entries without agents, the holder would report its own counts as those of all entries. Change: such an entry takes no lease. A single entry still reports its own.

--- a/internal/program/hosted/duties.go
+++ b/internal/program/hosted/duties.go
@@ -66,8 +66,11 @@
 	server.Usage = d.counting
 	d.reporter = &holder.UsageReporter{
 		Store: rows, Platform: cloud, Tallies: client, Counting: d.counting, Self: self, IsCandidate: server.Links.IsReader,
-		CanCount: func() bool { return server.Links.HasMostAgents() || server.WithoutAgents() },
-		Due:      settings.Bounds.MaxReportDelay, MinTenure: settings.Bounds.MinTenure, CallRate: settings.Cloud.CallRate, FirstStart: settings.FirstStart,
+		// Without agents nobody tells the counts of other entries.
+		CanCount: func() bool {
+			return server.Links.HasMostAgents() || server.WithoutAgents() && server.Links.KnownEntries() <= 1
+		},
+		Due: settings.Bounds.MaxReportDelay, MinTenure: settings.Bounds.MinTenure, CallRate: settings.Cloud.CallRate, FirstStart: settings.FirstStart,
 		Log: p.log, Metrics: p.metrics,
 	}
 }
