--- a/internal/duty/holder/fake_test.go
+++ b/internal/duty/holder/fake_test.go
@@ -33,6 +33,8 @@
 	// faulty is true while calls fail at random.
 	faulty bool
 
+	// key is that of the only row.
+	key          string
 	version, era int64
 	row          *lease.Row
 	rowVersion   int64
@@ -42,6 +44,7 @@
 
 	processes []*process
 	calls     []call
+	orders    []order
 	// violations lists broken rules, and events what led to them.
 	violations, events []string
 }
@@ -64,7 +67,7 @@
 	cancel                context.CancelFunc
 	ended                 chan struct{}
 	frozenUntil, cutUntil time.Time
-	dead                  bool
+	dead, blind           bool
 	reader                bool
 	writes, polls, reads  int
 }
@@ -78,10 +81,17 @@
 	excused bool
 }
 
+// order is a scaling order.
+type order struct {
+	process *process
+	fence   int64
+	order   holder.ScaleOrder
+}
+
 var errFault = errors.New("the call failed")
 
 func newSite(seed uint64) *site {
-	return &site{random: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(), changed: make(chan struct{})}
+	return &site{random: rand.New(rand.NewPCG(seed, 1)), begun: time.Now(), changed: make(chan struct{}), key: "usage_report"}
 }
 
 // start starts a process.
@@ -104,6 +114,7 @@
 	}
 	p.reporter = &holder.UsageReporter{
 		Store: p, Platform: p, Tallies: tallies{p}, Counting: counting, Self: p.self, IsCandidate: func() bool { return p.reader }, Due: due,
+		CanCount:  func() bool { return !p.isBlind() },
 		MinTenure: minTenure, FirstStart: firstStart, Log: log, Metrics: metrics.NewRegistry(),
 	}
 
@@ -127,6 +138,14 @@
 	p.cancel()
 }
 
+// isBlind reports whether the process reaches no agents.
+func (p *process) isBlind() bool {
+	p.site.mu.Lock()
+	defer p.site.mu.Unlock()
+
+	return p.blind
+}
+
 // chance reports true with a probability in percent while calls fail at random.
 func (s *site) chance(percent int) bool {
 	s.mu.Lock()
@@ -201,7 +220,7 @@
 
 	if rows && s.row != nil {
 		row := *s.row
-		page.Rows["usage_report"] = holder.Row{Version: s.rowVersion, Row: &row}
+		page.Rows[s.key] = holder.Row{Version: s.rowVersion, Row: &row}
 	}
 
 	return page
@@ -366,7 +385,28 @@
 }
 
 // Scale implements holder.Platform.
-func (p *process) Scale(context.Context, holder.Token, holder.ScaleOrder) error {
+func (p *process) Scale(ctx context.Context, token holder.Token, wanted holder.ScaleOrder) error {
+	if err := p.pass(ctx); err != nil {
+		return err
+	}
+
+	if p.site.chance(50) {
+		return &holder.RefusedError{Status: 429}
+	}
+
+	s := p.site
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, earlier := range s.orders {
+		if earlier.fence > token.Fence || earlier.fence == token.Fence && earlier.process != p {
+			s.violations = append(s.violations, fmt.Sprintf("token %d of %s after %d", token.Fence, p.self.Process, earlier.fence))
+		}
+	}
+
+	s.orders = append(s.orders, order{process: p, fence: token.Fence, order: wanted})
+
 	return nil
 }
 
--- a/internal/duty/lease/lease.go
+++ b/internal/duty/lease/lease.go
@@ -68,7 +68,7 @@
 type Answer struct {
 	// Requested and Answered are local times.
 	Requested, Answered time.Duration
-	// Clock is the reading of the store's clock, and Era the number of its restores.
+	// Clock is the reading of the store's clock; 0 if the answer does not state it. Era is the number of its restores.
 	Clock time.Duration
 	Era   int64
 	// Row is nil if the row does not exist, and Version its version; 0 if it does not exist.
@@ -189,8 +189,12 @@
 	return wasOwn && !l.IsOwn()
 }
 
-// mapClock keeps the store's clock of the latest answer.
+// mapClock keeps the store's clock of the latest answer that states it.
 func (l *Lease) mapClock(answer Answer, restored bool) {
+	if answer.Clock == 0 {
+		return
+	}
+
 	if restored || answer.Answered >= l.answered {
 		l.clock, l.requested, l.answered = answer.Clock, answer.Requested, answer.Answered
 	}
@@ -310,10 +314,11 @@
 
 // take returns the write that makes this process the holder.
 func (l *Lease) take(now time.Duration, content Content) Write {
-	row := Row{Holder: l.Self, Fence: l.era<<eraShift + 1}
+	// Versions rise within an era, so that the token does too, whatever the row holds: a late write of before a restore may have replaced it.
+	row := Row{Holder: l.Self, Fence: l.era<<eraShift + l.version + 1}
 
 	if l.row != nil {
-		row.Fence = max(l.row.Fence, l.era<<eraShift) + 1
+		row.Fence = max(row.Fence, l.row.Fence+1)
 		row.Former = l.formerAfterTake(now)
 	}
 
@@ -353,15 +358,16 @@
 	return *l.pending
 }
 
-// Release returns the write that ends the lease of this process; false if it does not hold it.
-func (l *Lease) Release(now time.Duration) (Write, bool) {
+// Release returns the write that ends the lease of this process, with the content that stays in the row; false if it does not hold it. The row is
+// read again before the next write.
+func (l *Lease) Release(now time.Duration, content Content) (Write, bool) {
 	if !l.known || !l.IsOwn() || l.stale || l.Left(now) == 0 {
 		return Write{}, false
 	}
 
-	released := l.write(now, *l.row, l.row.Content)
+	released := l.write(now, *l.row, content)
 	released.Row.Expires = l.latest(now)
-	l.pending, l.held = nil, false
+	l.pending, l.held, l.known = nil, false, false
 
 	return released, true
 }
