Start a prompt when it costs callers least

Cause: a late prompt was allowed to make one stream late, and one that expired within a second any number. A small, less urgent prompt also took the time in which a more urgent held one would have fit.

Change: streams and prompts are weighed by urgency; a late prompt makes at most two streams like it late in its last 300 ms, unless requests of its size or urgency are owed service; less urgent prompts wait for a held one that fits after the next events. The pause that is expected counts the prefills since the last event instead of the whole time. A kind is owed service when it is served less than a less urgent one by more than 2 in 100. A more urgent request goes first when it has under 300 ms to spare.

--- a/internal/forward/schedule/policy.go
+++ b/internal/forward/schedule/policy.go
@@ -14,6 +14,8 @@
 	OrderByUrgency bool
 	// KeepArrivalOrder orders requests as OrderByUrgency does, but leaves requests that can no longer be on time in their order of arrival.
 	KeepArrivalOrder bool
+	// FixedHarm lets a late request make one stream late, and one that expires within a second any number, whatever their urgency.
+	FixedHarm bool
 	// IgnoreGaps starts requests although their prefill makes the pauses between the events of running streams too long.
 	IgnoreGaps bool
 }
--- a/internal/forward/schedule/request.go
+++ b/internal/forward/schedule/request.go
@@ -46,6 +46,8 @@
 	fetched bool
 	// sentAt is when the request was sent to the server, and lastEvent when its last event came; lastEvent is zero before the first one.
 	sentAt, lastEvent time.Time
+	// stalledBefore is the stalled time of the server as of the last event.
+	stalledBefore time.Duration
 	// late is true once the first event came after it was due, or two events were further apart than GapTarget.
 	late bool
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -54,11 +54,15 @@
 	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
 	pace       pace.Estimator
 	prefillEnd time.Time
+	// stalled is the time in which streams got no tokens because of prefills that have ended, since the begin.
+	stalled time.Duration
 	// held is true if a request waits only so that it does not hold up streams, as of the last dispatch, and heldUntil when that is looked
 	// at again without an event.
 	held      bool
 	heldUntil time.Time
-	adapters  map[Adapter]*adapterState
+	// heldUrgency is the urgency of the most urgent request that is held and fits after the next events; less urgent ones don't start before it.
+	heldUrgency int
+	adapters    map[Adapter]*adapterState
 	// cached holds the adapters that are assumed to be in the server's cache with the time of their last load or use.
 	cached map[Adapter]time.Time
 	// starts holds the times of the starts within rateWindow, oldest first.
@@ -220,6 +224,7 @@
 
 	s.resting = s.notices.RestLeft(now) > 0
 	s.held = false
+	s.heldUrgency = UrgencyClasses
 	// kept counts the requests that stay in the queue.
 	kept := 0
 
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -5,8 +5,19 @@
 const (
 	// heldPeriod is the time after which a request that is held is looked at again, if no event comes before.
 	heldPeriod = 20 * time.Millisecond
-	// startReserve is the time before a request expires from which on it is started whatever streams it holds up.
-	startReserve = time.Second
+	// startReserve is the time before the latest start of a request in which it may hold up more and more streams. In lastPeriod after it, it may
+	// hold up all, and is looked at at least once.
+	startReserve = 300 * time.Millisecond
+	lastPeriod   = 2 * heldPeriod
+	// expiryMargin is the time between the expiry of a request and the end of its client's patience, which entries leave for the prefill.
+	expiryMargin = 400 * time.Millisecond
+	// lessThanOwn keeps a request from making a stream of its own urgency late.
+	lessThanOwn = 0.99
+	// stepsPerEvent is the least number of steps of a server in which it makes the tokens of an event.
+	stepsPerEvent = 3
+	// lateHarm is the number of streams of its own urgency that a late request may make late before it expires: it earns up to a third of the value
+	// of a stream on time, each of which loses two thirds, and the largest are worth four times the mean.
+	lateHarm = 2
 )
 
 // ObserveEvent records an event of the response to a request. The first one ends its prefill; it reports whether this is the first one.
@@ -20,6 +31,7 @@
 		s.endPrefill(request)
 		s.pace.ObservePrefill(now, request.InputTokens, now.Sub(request.sentAt))
 		s.prefillEnd = now
+		s.stalled += max(now.Sub(request.sentAt)-s.pace.EventTime(now)/stepsPerEvent, 0)
 	case decoding:
 		took := now.Sub(request.lastEvent)
 		request.late = request.late || request.GapTarget > 0 && took > request.GapTarget
@@ -31,7 +43,7 @@
 		return false
 	}
 
-	request.lastEvent = now
+	request.lastEvent, request.stalledBefore = now, s.stalled
 
 	return first
 }
@@ -46,43 +58,120 @@
 	return s.held
 }
 
+// harm is what a prompt does to the streams that are on time.
+type harm struct {
+	// running is the weight of all of them, and now that of those that are late if the prefill begins now.
+	running, now float64
+	// always is true if some are late whenever it begins.
+	always bool
+}
+
 // holdsUpStreams reports whether the request is to wait because streams that are on time would be held up by its prefill: the server makes no
-// event until a prompt is prefilled. A request that would be late otherwise may hold up one stream, and one that expires soon any number.
+// event until a prompt is prefilled. It is started when the streams that would be late for it weigh no more than what it loses by a wait.
 func (s *Scheduler) holdsUpStreams(now time.Time, request *Request) bool {
 	if s.policy().IgnoreGaps {
 		return false
 	}
 
-	hurt := s.heldUp(now, s.pace.PrefillTime(now, request.InputTokens))
-	allowed := 0
+	prefill := s.pace.PrefillTime(now, request.InputTokens)
+	expected := s.expectedHarm(now, prefill)
 
-	switch {
-	case request.Expires.Sub(now) < startReserve:
-		allowed = hurt
-	case now.After(request.Due):
-		allowed = 1
+	allowed := allowedHarm(now, request, prefill, s.mostHarm(request, expected.running))
+	if s.policy().FixedHarm {
+		allowed = fixedHarm(now, request, expected.running)
 	}
 
-	if hurt <= allowed {
+	if s.heldUrgency >= request.Urgency && (expected.now == 0 || expected.now <= allowed) {
 		return false
 	}
 
+	// A less urgent prompt would take the time that the next events of the streams leave for this one.
+	if !expected.always && !s.policy().FixedHarm {
+		s.heldUrgency = min(s.heldUrgency, request.Urgency)
+	}
+
 	request.held = true
 	s.held, s.heldUntil = true, now.Add(heldPeriod)
 
 	return true
 }
 
-// heldUp returns the number of streams on time whose next event would come too late if a prompt were prefilled for the given time.
-func (s *Scheduler) heldUp(now time.Time, prefill time.Duration) int {
-	until := now.Add(prefill + s.pace.EventTime(now))
-	count := 0
+// fixedHarm returns the weight of the streams on time that a request may make late under Policy.FixedHarm.
+func fixedHarm(now time.Time, request *Request, running float64) float64 {
+	switch {
+	case request.Expires.Sub(now) < time.Second:
+		return running
+	case now.After(request.Due):
+		return 1
+	default:
+		return 0
+	}
+}
+
+// mostHarm returns the weight of the streams on time that a request may make late before it expires, of those that run with the given weight. It
+// may make all late if requests of its size or urgency are starved; otherwise, it costs less if it is refused.
+func (s *Scheduler) mostHarm(request *Request, running float64) float64 {
+	if s.shares.Owed(s.work(request)) > 0 {
+		return running
+	}
+
+	return min(running, weight(request.Urgency)*lateHarm)
+}
+
+// allowedHarm returns the weight of the streams on time that a request may make late now, of those that it may make late at most.
+//   - As long as it can wait and still be on time, it makes no stream late.
+//   - When it would be late otherwise, it makes less urgent streams late that weigh less than itself together.
+//   - When it is late, it waits for a moment at which it harms none. In the last time before its client leaves, the weight that it may harm grows
+//     to the most, so that it starts at a moment that harms few.
+func allowedHarm(now time.Time, request *Request, prefill time.Duration, most float64) float64 {
+	latest := request.Expires.Add(-max(prefill-expiryMargin, 0))
+	if left := latest.Sub(now) - lastPeriod; left < startReserve {
+		return most * min(1-float64(left)/float64(startReserve), 1)
+	}
+
+	spare := request.Due.Sub(now) - prefill
+	if spare >= 0 && spare < heldPeriod {
+		return weight(request.Urgency) * lessThanOwn
+	}
+
+	return 0
+}
+
+// weight returns the weight of a request or stream: half of that of the next more urgent ones.
+func weight(urgency int) float64 {
+	return 1 / float64(int(1)<<min(max(urgency, 0), UrgencyClasses))
+}
+
+// expectedHarm returns the harm of a prompt that is prefilled for the given time.
+func (s *Scheduler) expectedHarm(now time.Time, prefill time.Duration) harm {
+	var expected harm
+
+	event := s.pace.EventTime(now)
 
 	for request := range s.active {
-		if request.phase == decoding && !request.late && request.GapTarget > 0 && until.Sub(request.lastEvent) > request.GapTarget {
-			count++
+		if !request.isOnTime(now) {
+			continue
+		}
+
+		expected.running += weight(request.Urgency)
+		expected.always = expected.always || event+event/2+prefill > request.GapTarget
+
+		if s.expectedGap(now, request, event)+prefill > request.GapTarget {
+			expected.now += weight(request.Urgency)
 		}
 	}
 
-	return count
+	return expected
+}
+
+// isOnTime reports whether the request is a stream that was on time so far and can be late.
+func (r *Request) isOnTime(now time.Time) bool {
+	return r.phase == decoding && !r.late && r.GapTarget > 0 && now.Sub(r.lastEvent) <= r.GapTarget
+}
+
+// expectedGap returns the time that is expected between the last and the next event of a stream without a further prefill: the usual time and
+// the prefills since the last event, and at least the time since then and one step. Half the usual time is added for its variation: an event holds
+// three or four tokens, and steps take longer with more streams.
+func (s *Scheduler) expectedGap(now time.Time, request *Request, event time.Duration) time.Duration {
+	return event/2 + max(s.stalled-request.stalledBefore+event, now.Sub(request.lastEvent)+event/stepsPerEvent)
 }
--- a/internal/forward/triage/queue.go
+++ b/internal/forward/triage/queue.go
@@ -12,6 +12,9 @@
 	// returnReserve is how much earlier than its due time a displaced request must be able to start before it counts as on time again, so that
 	// small changes of the pace don't change its standing with each decision.
 	returnReserve = 30 * time.Millisecond
+	// urgentReserve is the time that a request has left at its start at least if a less urgent one goes before it: a moment of slowness, of half a
+	// second at 2.5 times the usual, delays it by as much.
+	urgentReserve = 300 * time.Millisecond
 	// outputWeight is the value of an output token to callers, in prompt tokens.
 	outputWeight = 10
 	// resumedGain multiplies the gain of a request that goes on with a stream: what was spent on the first part is lost if it is not served.
@@ -327,7 +330,7 @@
 
 		for j := i; j > 0; j-- {
 			other := &q.jobs[q.set[j-1]]
-			if next.place >= other.place || next.work > other.slack {
+			if next.place >= other.place || next.work > other.slack && (next.slack >= urgentReserve || next.standing == Late) {
 				break
 			}
 
@@ -350,6 +353,10 @@
 		c := &candidates[index]
 		turn := Turn{Index: index, Standing: next.standing, Start: max(end, next.ready)}
 
+		if turn.Standing == OnTime && turn.Start > next.last {
+			turn.Standing = Displaced
+		}
+
 		if certain > next.expires {
 			turn.Standing = Hopeless
 		} else {
--- a/internal/forward/triage/queue_test.go
+++ b/internal/forward/triage/queue_test.go
@@ -69,6 +69,10 @@
 			candidates: []triage.Candidate{candidate(2, 100*ms, 150*ms, 3*time.Second), candidate(0, 100*ms, 800*ms, 3*time.Second)},
 			want:       "o0 o1",
 		},
+		"a more urgent one without time to spare goes first": {
+			candidates: []triage.Candidate{candidate(2, 100*ms, 150*ms, 3*time.Second), candidate(0, 100*ms, 350*ms, 3*time.Second)},
+			want:       "o1 d0",
+		},
 		"the less urgent gives way": {
 			candidates: []triage.Candidate{candidate(2, 100*ms, 150*ms, 3*time.Second), candidate(0, 100*ms, 160*ms, 3*time.Second)},
 			want:       "o1 d0",
--- a/internal/forward/triage/shares.go
+++ b/internal/forward/triage/shares.go
@@ -5,6 +5,8 @@
 	// sizeShare how often the requests of a size must be, by how often the whole kind is. Both are above what callers are promised (a quarter
 	// and a half), because what is owed is only served some time later.
 	classShare, sizeShare = 0.35, 0.6
+	// urgentMargin is how much smaller the served share of a kind may be than that of a less urgent one, as callers are promised.
+	urgentMargin = 0.02
 	// minOutcomes is the number of outcomes of a class below which nothing is owed to it.
 	minOutcomes = 8
 	// maxOutcomes is the number of outcomes after which all counts are halved, so that the latest ones count most.
@@ -60,6 +62,10 @@
 	k := &s.kinds[urgencyClass(work.Urgency)]
 	owed := k.missing(classShare, &s.all)
 
+	for i := urgencyClass(work.Urgency) + 1; i <= maxUrgency; i++ {
+		owed = max(owed, k.behind(&s.kinds[i].outcomes))
+	}
+
 	if work.Fetch {
 		owed = max(owed, s.fetched.missing(classShare, &s.all))
 	}
@@ -137,6 +143,20 @@
 	return max(1-o.served*all.ended/wanted, 0)
 }
 
+// behind returns by how much the share that was served is smaller than that of less urgent requests; 0 if it is so by less than urgentMargin.
+func (o *outcomes) behind(lessUrgent *outcomes) float64 {
+	if o.ended < minOutcomes || lessUrgent.ended < minOutcomes {
+		return 0
+	}
+
+	behind := lessUrgent.served/lessUrgent.ended - o.served/o.ended
+	if behind < urgentMargin {
+		return 0
+	}
+
+	return behind
+}
+
 func (o *outcomes) halve() {
 	o.ended /= 2
 	o.served /= 2
--- a/internal/measure/play/client_request.go
+++ b/internal/measure/play/client_request.go
@@ -14,11 +14,17 @@
 	eventMargin = 20 * time.Millisecond
 	// maxRefusals is the number of refusals by servers after which the entry refuses the request.
 	maxRefusals = 3
+	// Clients leave when nothing comes for the longest of abandonTime, abandonObjectives times the objective and abandonGaps times the longest gap
+	// that is on time.
+	abandonTime       = 2 * time.Second
+	abandonObjectives = 4
+	abandonGaps       = 8
 )
 
 // clientRequest is one request of a client.
 type clientRequest struct {
 	number       int
+	kind         *Kind
 	entry        *entry
 	adapter      schedule.Adapter
 	promptTokens int64
@@ -41,18 +47,25 @@
 }
 
 // maxWait returns how long the request may wait to be started.
-func (c *clientRequest) maxWait(now time.Time, workload *Workload) time.Duration {
-	return refuse.MaxStreamWait(workload.Objective, workload.GapTarget, now.Sub(c.lastSent), time.Hour)
+func (c *clientRequest) maxWait(now time.Time) time.Duration {
+	return refuse.MaxStreamWait(c.kind.Objective, c.kind.GapTarget, now.Sub(c.lastSent), time.Hour)
 }
 
-func (c *clientRequest) schedulerRequest(now time.Time, workload *Workload) *schedule.Request {
+// patience returns the time without an event after which the client leaves.
+func (c *clientRequest) patience() time.Duration {
+	return max(abandonTime, abandonObjectives*c.kind.Objective, abandonGaps*c.kind.GapTarget)
+}
+
+func (c *clientRequest) schedulerRequest(now time.Time) *schedule.Request {
 	return &schedule.Request{
 		Adapter:         c.adapter,
 		InputTokens:     c.promptTokens,
 		MaxOutputTokens: c.outputTokens,
+		Urgency:         c.kind.Urgency,
 		Arrived:         now,
-		Due:             now.Add(workload.Objective - eventMargin),
-		Expires:         now.Add(c.maxWait(now, workload)),
+		Due:             c.lastSent.Add(c.kind.Objective - eventMargin),
+		Expires:         now.Add(c.maxWait(now)),
+		GapTarget:       c.kind.GapTarget,
 	}
 }
 
@@ -79,11 +92,14 @@
 	c.finish(outcomeFailed)
 }
 
-func (c *clientRequest) onCompleted() {
-	workload := c.entry.simulation.workload
+// beganOnTime reports whether the first event came within the objective.
+func (c *clientRequest) beganOnTime() bool {
+	return c.firstOutput.Sub(c.firstSent) <= c.kind.Objective
+}
 
+func (c *clientRequest) onCompleted() {
 	switch {
-	case c.firstOutput.Sub(c.firstSent) <= workload.Objective && c.maxGap <= workload.GapTarget:
+	case c.beganOnTime() && c.maxGap <= c.kind.GapTarget:
 		c.finish(outcomeOnTime)
 	default:
 		c.finish(outcomeLate)
--- a/internal/measure/play/entry.go
+++ b/internal/measure/play/entry.go
@@ -42,7 +42,7 @@
 	query := place.Query{Adapter: modelName + "/" + c.adapter.Name, Domain: e.domain}
 	index, wait := sim.policy.choose(sim.rng, query, candidates)
 	refused := refuse.CheckModelRequest(refuse.Candidate{
-		ID: c.id(), Found: index >= 0, ExpectedWait: wait, MaxWait: c.maxWait(sim.clock.now, sim.workload), Objective: sim.workload.Objective,
+		ID: c.id(), Found: index >= 0, ExpectedWait: wait, MaxWait: c.maxWait(sim.clock.now), Objective: c.kind.Objective,
 	})
 	if refused != nil {
 		e.refuse(c, refused)
@@ -54,7 +54,7 @@
 	count.tokens += c.promptTokens
 	e.sent[servers[index]] = count
 
-	servers[index].add(c, c.schedulerRequest(sim.clock.now, sim.workload))
+	servers[index].add(c, c.schedulerRequest(sim.clock.now))
 }
 
 // refuse makes the client retry after the delay of the error. A request that was retried already ends as refused.
--- a/internal/measure/play/play_test.go
+++ b/internal/measure/play/play_test.go
@@ -171,3 +171,94 @@
 		assert.Assert(t, bytes.Contains(text, []byte("<svg")))
 	}
 }
+
+// overloadSeeds is the number of seeds of the tests below; the spread of their means over other sets of seeds is under 2 in 100.
+const overloadSeeds = 12
+
+// kindMeans returns the mean outcome of each kind over the seeds, and the number of its requests in all.
+func kindMeans(workload *Workload, policy string) map[string]KindResult {
+	row := Run(Experiment{Seeds: overloadSeeds, Policies: []string{policy}, Workloads: []Workload{*workload}}, func(int, int) {})[0]
+	means := map[string]KindResult{}
+
+	for name := range row.Results[0].Kinds {
+		var mean KindResult
+
+		for _, result := range row.Results {
+			one := result.Kinds[name]
+			mean.Requests += one.Requests
+			mean.Late += one.Late / overloadSeeds
+			mean.Refused += (one.Refused + one.Failed) / overloadSeeds
+			mean.Served += one.Served / overloadSeeds
+			mean.ServedLargest += one.ServedLargest / overloadSeeds
+		}
+
+		means[name] = mean
+	}
+
+	return means
+}
+
+// lateShare returns the share of all requests that were late.
+func lateShare(workload *Workload, means map[string]KindResult) float64 {
+	total, late := 0.0, 0.0
+
+	for i := range workload.Kinds {
+		mean := means[workload.Kinds[i].Name]
+		total += float64(mean.Requests)
+		late += float64(mean.Requests) * mean.Late
+	}
+
+	return late / total
+}
+
+// Guards against a burst of the least urgent kind that makes more of the most urgent one late or refused than callers are promised (2 in 100).
+func TestBurstDoesNotReachTheMostUrgentKind(t *testing.T) {
+	t.Parallel()
+
+	burst := *workloads(t)["overload"]
+	calm := burst
+	calm.Bursts = nil
+
+	with, without := kindMeans(&burst, "ours")["dispute"], kindMeans(&calm, "ours")["dispute"]
+	assert.Check(t, with.Refused <= without.Refused+0.02, "refused %.3f, without the burst %.3f", with.Refused, without.Refused)
+	assert.Check(t, with.Late <= without.Late+0.02, "late %.3f, without the burst %.3f", with.Late, without.Late)
+}
+
+// Guards against an order of the queue that makes more streams late than the one before it, and against sizes and kinds that are starved or
+// refused before less urgent ones.
+func TestLeastCost(t *testing.T) {
+	t.Parallel()
+
+	for _, name := range []string{"uneven", "overload"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			workload := workloads(t)[name]
+			means := kindMeans(workload, "ours")
+
+			// fixed-harm has both the order and the rule for prompts of before.
+			for _, earlier := range []string{"urgency-order", "fixed-harm"} {
+				own, other := lateShare(workload, means), lateShare(workload, kindMeans(workload, earlier))
+				assert.Check(t, own < other, "late: %.3f, %s %.3f", own, earlier, other)
+			}
+
+			all := 0.0
+
+			for i := range workload.Kinds {
+				all += means[workload.Kinds[i].Name].Served / float64(len(workload.Kinds))
+			}
+
+			for i := range workload.Kinds {
+				kind := means[workload.Kinds[i].Name]
+				assert.Check(t, kind.Served >= all/4, "%s: %.3f of %.3f", workload.Kinds[i].Name, kind.Served, all)
+				assert.Check(t, kind.ServedLargest >= kind.Served/2, "largest of %s: %.3f of %.3f", workload.Kinds[i].Name, kind.ServedLargest, kind.Served)
+
+				for j := range workload.Kinds {
+					other := means[workload.Kinds[j].Name]
+					lessUrgent := workload.Kinds[j].Urgency > workload.Kinds[i].Urgency
+					assert.Check(t, !lessUrgent || kind.Refused <= other.Refused+0.02, "%s is refused more than %s: %.3f, %.3f", workload.Kinds[i].Name, workload.Kinds[j].Name, kind.Refused, other.Refused)
+				}
+			}
+		})
+	}
+}
--- a/internal/measure/play/policy.go
+++ b/internal/measure/play/policy.go
@@ -23,6 +23,8 @@
 	"many-readers":  {choose: defaultChoice, schedule: schedule.Policy{MaxPrefills: 4, MaxFetches: schedule.DefaultPolicy.MaxFetches}},
 	"arrival-order": {choose: defaultChoice, schedule: schedule.Policy{MaxPrefills: schedule.DefaultPolicy.MaxPrefills, MaxFetches: schedule.DefaultPolicy.MaxFetches, KeepArrivalOrder: true}},
 	"urgency-order": {choose: defaultChoice, schedule: schedule.Policy{MaxPrefills: schedule.DefaultPolicy.MaxPrefills, MaxFetches: schedule.DefaultPolicy.MaxFetches, OrderByUrgency: true}},
+	"fixed-harm":    {choose: defaultChoice, schedule: schedule.Policy{MaxPrefills: schedule.DefaultPolicy.MaxPrefills, MaxFetches: schedule.DefaultPolicy.MaxFetches, OrderByUrgency: true, FixedHarm: true}},
+	"ignore-pauses": {choose: defaultChoice, schedule: schedule.Policy{MaxPrefills: schedule.DefaultPolicy.MaxPrefills, MaxFetches: schedule.DefaultPolicy.MaxFetches, IgnoreGaps: true}},
 	"least-loaded":  {choose: leastLoaded, schedule: schedule.DefaultPolicy},
 	"home-only":     {choose: preferredOnly, schedule: schedule.DefaultPolicy},
 	"random":        {choose: randomServer, schedule: schedule.DefaultPolicy},
