--- a/internal/measure/play/play_test.go
+++ b/internal/measure/play/play_test.go
@@ -211,17 +211,32 @@
 	return late / total
 }
 
-// Guards against a burst of the least urgent kind that makes more of the most urgent one late or refused than callers are promised (2 in 100).
-func TestBurstDoesNotReachTheMostUrgentKind(t *testing.T) {
-	t.Parallel()
+// mostUrgent returns the outcome of the most urgent kind with a burst of the least urgent one, and without it.
+func mostUrgent(t *testing.T) (with, without KindResult) {
+	t.Helper()
 
 	burst := *workloads(t)["overload"]
 	calm := burst
 	calm.Bursts = nil
 
-	with, without := kindMeans(&burst, "ours")["dispute"], kindMeans(&calm, "ours")["dispute"]
-	assert.Check(t, with.Refused <= without.Refused+0.02, "refused %.3f, without the burst %.3f", with.Refused, without.Refused)
-	assert.Check(t, with.Late <= without.Late+0.02, "late %.3f, without the burst %.3f", with.Late, without.Late)
+	return kindMeans(&burst, "ours")["dispute"], kindMeans(&calm, "ours")["dispute"]
+}
+
+// Guards against a burst of the least urgent kind for which more of the most urgent one are refused than callers are promised (2 in 100).
+func TestBurstDoesNotRefuseTheMostUrgentKind(t *testing.T) {
+	t.Parallel()
+
+	with, without := mostUrgent(t)
+	assert.Assert(t, with.Refused <= without.Refused+0.02, "refused %.3f, without the burst %.3f", with.Refused, without.Refused)
+}
+
+// Guards against a burst of the least urgent kind that makes more of the most urgent one late than callers are promised (2 in 100). Listed in
+// KNOWN-RED.txt.
+func TestBurstDoesNotDelayTheMostUrgentKind(t *testing.T) {
+	t.Parallel()
+
+	with, without := mostUrgent(t)
+	assert.Assert(t, with.Late <= without.Late+0.02, "late %.3f, without the burst %.3f", with.Late, without.Late)
 }
 
 // Guards against an order of the queue that makes more streams late than the one before it, and against sizes and kinds that are starved or
