--- a/internal/forward/entry/scale.go
+++ b/internal/forward/entry/scale.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"cmp"
 	"slices"
 
@@ -65,7 +67,7 @@
 	load.Slots = max(load.Slots, server.Slots)
 
 	if service.Engine == nil {
-		own, others := e.plainLoads.load(server.ID)
+		own, others, _ := e.plainLoads.load(time.Now(), server.ID)
 		load.Running += float64(own) + float64(others)
 
 		return
--- a/internal/forward/entry/scale_test.go
+++ b/internal/forward/entry/scale_test.go
@@ -29,7 +29,7 @@
 		fleet.Server{ID: "c", Service: "plain", Domain: "d1", Slots: 4, Draining: true}, fleet.Server{ID: "d", Service: "model", Domain: "d2", Slots: 8},
 	)
 	e.plainLoads.begin("a")
-	e.plainLoads.report("b", upstream.Load{Running: 3, Slots: 4})
+	e.plainLoads.report(time.Now(), "b", upstream.Load{Running: 3, Slots: 4})
 
 	assert.DeepEqual(t, e.ServiceLoads(), []scale.Load{
 		{Subject: scale.Subject{Service: "model", Domain: "d2"}, Bounds: want, Servers: 1, Slots: 8},
--- a/internal/forward/pace/pace.go
+++ b/internal/forward/pace/pace.go
@@ -20,9 +20,10 @@
 	averageShare = 0.1
 	// minPromptTokens is the size below which a prompt tells little about the speed of prefill.
 	minPromptTokens = 200
-	// prefillOverhead is the time from the send of a request to its first event that does not depend on the prompt: about one step of the
-	// server. It is added to the time of the prompt.
-	prefillOverhead = 12 * time.Millisecond
+	// defaultOverhead is the time from the send of a request to its first event that does not depend on the prompt, as long as it is not known:
+	// about one step of the server. maxOverhead is above what it takes at any server.
+	defaultOverhead = 12 * time.Millisecond
+	maxOverhead     = 100 * time.Millisecond
 	// defaultTokenTime is the prefill time of one prompt token, and defaultEventTime the time between two events, as long as nothing is known.
 	defaultTokenTime = 50 * time.Microsecond
 	defaultEventTime = 50 * time.Millisecond
@@ -30,8 +31,10 @@
 
 // Estimator estimates the pace of one server. The zero value is ready to use. It is not safe for concurrent use.
 type Estimator struct {
-	// tokenTime and eventTime are averages at the usual slowness of 100 percent; 0 as long as nothing was observed.
-	tokenTime, eventTime time.Duration
+	// prefills has the times of requests to their first events, in nanoseconds, by the tokens of their prompts. overhead and tokenTime are what it
+	// tells, and eventTime is an average; all are at the slowness of 100 percent, and 0 as long as nothing was observed.
+	prefills                       line
+	overhead, tokenTime, eventTime time.Duration
 	// statements are the latest ones of the slowness in percent, and statedAt is when the last one was made.
 	statements []int
 	statedAt   time.Time
@@ -53,11 +56,14 @@
 
 // ObservePrefill records the time from the send of a request to its first event.
 func (e *Estimator) ObservePrefill(now time.Time, tokens int64, took time.Duration) {
-	if tokens < minPromptTokens || took <= prefillOverhead {
+	if tokens < minPromptTokens {
 		return
 	}
 
-	e.tokenTime = average(e.tokenTime, e.normalize(now, took-prefillOverhead)/time.Duration(tokens))
+	e.prefills.observe(float64(tokens), float64(e.normalize(now, took)))
+
+	overhead, perToken := e.prefills.fit(float64(defaultOverhead), float64(maxOverhead))
+	e.overhead, e.tokenTime = time.Duration(overhead), max(time.Duration(perToken), 1)
 }
 
 // ObserveEvent records the time between two events of a stream in which the server prefilled no prompt.
@@ -120,12 +126,7 @@
 
 // PrefillTime returns the expected time from the send of a request with a prompt of the given size to its first event.
 func (e *Estimator) PrefillTime(now time.Time, tokens int64) time.Duration {
-	perToken := e.tokenTime
-	if perToken == 0 {
-		perToken = defaultTokenTime
-	}
-
-	return e.scale(now, time.Duration(tokens)*perToken+prefillOverhead)
+	return e.Prefill(now).Time(tokens)
 }
 
 // EventTime returns the expected time between two events of a stream while no prompt is prefilled.
@@ -154,3 +155,13 @@
 
 	return known + time.Duration(averageShare*float64(observed-known))
 }
+
+// UsualEventTime returns the time between two events of a stream while no prompt is prefilled, at the usual pace of the server.
+func (e *Estimator) UsualEventTime() time.Duration {
+	known := e.eventTime
+	if known == 0 {
+		known = defaultEventTime
+	}
+
+	return known * time.Duration(e.usual()) / Usual
+}
--- a/internal/forward/pace/pace_test.go
+++ b/internal/forward/pace/pace_test.go
@@ -117,3 +117,26 @@
 		})
 	}
 }
+
+// Guards against an estimate for large prompts that is too high because small ones take long for their size: what a request takes besides its
+// prompt is told apart.
+func TestLargePromptsAreNotTakenForSlow(t *testing.T) {
+	const (
+		overhead = 40 * time.Millisecond
+		perToken = 50 * time.Microsecond
+	)
+
+	var e pace.Estimator
+
+	at := start
+
+	for i := range 200 {
+		at = at.Add(100 * time.Millisecond)
+		tokens := int64(300 + 200*(i%5))
+		e.ObservePrefill(at, tokens, overhead+time.Duration(tokens)*perToken)
+	}
+
+	want := 5800 * perToken
+	got := e.Prefill(at).Stall(5800)
+	assert.Assert(t, got > want*95/100 && got < want*105/100, "%s, want about %s", got, want)
+}
--- a/internal/forward/pace/prefill.go
+++ b/internal/forward/pace/prefill.go
@@ -35,10 +35,10 @@
 }
 
 func (e *Estimator) prefillAt(slowness int) Prefill {
-	perToken := e.tokenTime
+	overhead, perToken := e.overhead, e.tokenTime
 	if perToken == 0 {
-		perToken = defaultTokenTime
+		overhead, perToken = defaultOverhead, defaultTokenTime
 	}
 
-	return Prefill{perToken: perToken * time.Duration(slowness) / Usual, overhead: prefillOverhead * time.Duration(slowness) / Usual}
+	return Prefill{perToken: perToken * time.Duration(slowness) / Usual, overhead: overhead * time.Duration(slowness) / Usual}
 }
