Bound what a process keeps for clients outside the limits

Cause: net/http reads up to a megabyte of a head before the configured limit is looked at, and a short field takes about 140 bytes once parsed. Nothing bounded connections, or what heads take together. A body with an announced length above the limit was read up to the limit outside the budget. The kernel's receive buffers grow to megabytes. drpc doubles its buffer for a frame that is only announced, up to 10 MB a connection, and keeps it.

Ruled out: MaxHeaderBytes of net/http alone, which is fixed at the start and counts neither fields nor all connections; a receive buffer set on accepted connections, with which bodies of 64 KB took 190 ms on loopback (0.06 ms with the option on the listening socket); closing a connection to an agent without a refusal, which made 502 of 503 in TestBodiesAtAnAgentAreBounded.

Change: connlimit bounds connections, heads by the configuration in force, and drpc messages, all before a server parses them. Heads and bodies share one budget; usual sizes need none of it. Connections that have sent no request yield to new ones; accepted requests and connections that clients may use again do not. An agent refuses a message for which there is no memory with an error that the entry takes for a refusal that has not run. Announced bodies above the limit are refused at once. Readiness and metrics have bounds and timeouts for whole requests. The tests of the crowd also ask an ordinary request while the crowd is there, and have one more case, whole messages.

The tests of Handler.BodyMemory set the budget that replaces it; their figures are the same. The case "body too large, length" is new.

--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/ident"
@@ -18,6 +19,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/connlimit"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -120,12 +122,16 @@
 }
 
 // brokenStreamOutcome returns the outcome of a request whose stream to the agent ended before an outcome was received: the request may
-// have run, unless no connection was made.
+// have run, unless no connection was made, or the agent has not read all of the request.
 func brokenStreamOutcome(ctx context.Context, err error) message.Event {
 	if errors.Is(err, conn.ErrDial) {
 		return message.Refused{Err: fault.Wrap(err, fault.NoServer, "cannot connect to the agent")}
 	}
 
+	if drpcerr.Code(err) == connlimit.CodeNotRun {
+		return message.Refused{Err: fault.Wrap(err, fault.Overloaded, "the agent has no memory for the request")}
+	}
+
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
--- a/internal/program/hosted/agent.go
+++ b/internal/program/hosted/agent.go
@@ -45,7 +45,7 @@
 		Engine:       platform.NewEngine(p.settings.ModelServerAddress, p.settings.VM),
 		Upstream:     &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened"), VerifyEnds: true, Memory: p.responseMemory()},
 		Address:      p.settings.ModelServerAddress,
-		Listener:     upstream.Listener{Listener: listener},
+		Listener:     p.limitMessages(upstream.Listener{Listener: listener}),
 		Log:          p.log,
 		Metrics:      p.metrics,
 		DrainTimeout: p.settings.Bounds.GracePeriod - graceMargin,
--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -173,7 +173,7 @@
 		return c.NoContent(http.StatusOK)
 	})
 
-	go serve(ctx, p.log, listener, probe)
+	go serve(ctx, p.log, p.limitProbes(listener, "ready"), probe)
 
 	return nil
 }
@@ -186,7 +186,8 @@
 	}
 
 	handler := &platform.Handler{
-		BodyMemory: p.settings.MemoryLimit / bodyMemoryShare,
+		Memory:        p.requestMemory(),
+		FreeBodyBytes: freeBodyBytes,
 		Serve: func(ctx context.Context, request *message.Request, response *platform.Response) {
 			server.Serve(ctx, request, response)
 		},
@@ -199,7 +200,13 @@
 		},
 	}
 
-	connections := &graceful.Listener{Listener: upstream.Listener{Listener: listener}}
+	connections := &graceful.Listener{Listener: p.limitClients(upstream.Listener{Listener: listener}, handler, func() time.Duration {
+		if config := server.Config(); config != nil {
+			return config.Limits.IdleTimeout
+		}
+
+		return idleTimeout
+	})}
 	clients := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: connections.ObserveState}
 
 	// The timeouts of the first configuration apply from the start. Without a configuration, the entry serves after
--- a/internal/program/hosted/process.go
+++ b/internal/program/hosted/process.go
@@ -22,6 +22,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/stall"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/connlimit"
 	"github.com/chestnutbeam/chestnutbeam/platform"
 )
 
@@ -168,21 +169,24 @@
 	server := echo.New()
 	server.GET("/metrics", echo.WrapHandler(metric.Handler(p.metrics)))
 
-	go serve(ctx, p.log, listener, server)
+	go serve(ctx, p.log, p.limitProbes(listener, "metrics"), server)
 
 	return nil
 }
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
+	config := net.ListenConfig{Control: connlimit.SetReadBuffer}
 
 	listener, err := config.Listen(ctx, "tcp", address)
 
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
 
-func serve(ctx context.Context, log logrus.FieldLogger, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+func serve(ctx context.Context, log logrus.FieldLogger, listener *connlimit.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, WriteTimeout: probeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: probeHeadBytes, ConnState: listener.ObserveState,
+	}
 
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/internal/wire/graceful/listener.go
+++ b/internal/wire/graceful/listener.go
@@ -15,6 +15,11 @@
 // pollInterval is the time between two looks at the connections that Drain and Wait wait for.
 const pollInterval = 10 * time.Millisecond
 
+// StateObserver is implemented by accepted connections that are to be told their state.
+type StateObserver interface {
+	ObserveState(state http.ConnState)
+}
+
 // Listener accepts connections that are closed once they have no request. Its ObserveState is to be the ConnState of the server. http.Server.Close
 // does not break off requests, but Abort does. Exported fields are set before use.
 type Listener struct {
@@ -62,9 +67,17 @@
 
 // ObserveState records the state of a connection; it is the ConnState of an http.Server.
 func (l *Listener) ObserveState(accepted net.Conn, state http.ConnState) {
-	if c, ok := accepted.(*conn); ok {
-		c.observe(state)
+	c, ok := accepted.(*conn)
+	if !ok {
+		return
 	}
+
+	// The accepted connection is told first, since the bytes that are read after the end are no request.
+	if observer, ok := c.Conn.(StateObserver); ok {
+		observer.ObserveState(state)
+	}
+
+	c.observe(state)
 }
 
 // Drain closes the listener, lets the server answer the requests that arrive until no connection has one, and closes the connections. It
