--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -101,13 +101,13 @@
 	watchers map[*watcher]bool
 	// notified is the state at the last urgent notification of the watchers.
 	notified schedule.State
-	// wake ends the wait of the control loop; its capacity is 1.
-	wake chan struct{}
+	// wake ends the wait of the control loop, and recheck has it look at the held requests earlier; the capacity of both is 1.
+	wake, recheck chan struct{}
 }
 
 // Run serves until the context ends, and then until no request is under way or has arrived for drainQuiet, or DrainTimeout has passed.
 func (a *Agent) Run(ctx context.Context) error {
-	a.wake = make(chan struct{}, 1)
+	a.wake, a.recheck = make(chan struct{}, 1), make(chan struct{}, 1)
 	a.waiters = map[*schedule.Request]chan schedule.Action{}
 	a.watchers = map[*watcher]bool{}
 	a.Upstream.OnNotice = a.observeNotice
@@ -324,7 +324,8 @@
 	}
 }
 
-// waitForWork waits until the next report or decision is due or wakeControl is called.
+// waitForWork waits until the next report or decision is due or wakeControl is called. Meanwhile it dispatches requests that are held, which
+// needs no report.
 func (a *Agent) waitForWork(ctx context.Context) {
 	a.mu.Lock()
 	period := reportPeriod
@@ -339,16 +340,46 @@
 
 	a.mu.Unlock()
 
-	timer := time.NewTimer(period)
+	for end := time.Now().Add(period); a.waitUntil(ctx, end); {
+		a.mu.Lock()
+		a.dispatch()
+		a.notifyWatchers()
+		a.mu.Unlock()
+	}
+}
+
+// waitUntil waits until the end, or until held requests are to be dispatched before it, which it reports.
+func (a *Agent) waitUntil(ctx context.Context, end time.Time) bool {
+	timer := time.NewTimer(time.Until(end))
 	defer timer.Stop()
 
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-a.wake:
+	for {
+		at, held := a.heldUntil()
+		held = held && at.Before(end)
+
+		if held {
+			timer.Reset(max(time.Until(at), time.Millisecond))
+		}
+
+		select {
+		case <-ctx.Done():
+			return false
+		case <-a.wake:
+			return false
+		case <-timer.C:
+			return held
+		case <-a.recheck:
+		}
 	}
 }
 
+func (a *Agent) heldUntil() (time.Time, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.scheduler.HeldUntil()
+}
+
 // wakeControl makes the control loop run at once.
 func (a *Agent) wakeControl() {
 	select {
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -182,8 +182,11 @@
 	now := time.Now()
 	prefilled := a.scheduler.ObserveEvent(now, scheduled)
 
-	if prefilled || a.scheduler.Held() {
+	switch {
+	case prefilled:
 		a.dispatch()
+	case a.scheduler.Recheck(now):
+		notify(a.recheck)
 	}
 }
 
--- a/internal/forward/pace/pace.go
+++ b/internal/forward/pace/pace.go
@@ -155,13 +155,3 @@
 
 	return known + time.Duration(averageShare*float64(observed-known))
 }
-
-// UsualEventTime returns the time between two events of a stream while no prompt is prefilled, at the usual pace of the server.
-func (e *Estimator) UsualEventTime() time.Duration {
-	known := e.eventTime
-	if known == 0 {
-		known = defaultEventTime
-	}
-
-	return known * time.Duration(e.usual()) / Usual
-}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -356,7 +356,7 @@
 	}
 }
 
-// NextWakeup returns the next time at which Dispatch may decide differently without a report or another event; false if there
+// NextWakeup returns the next time at which Dispatch may decide differently without a report or another event, besides HeldUntil; false if there
 // is none.
 func (s *Scheduler) NextWakeup() (time.Time, bool) {
 	var next time.Time
@@ -377,12 +377,6 @@
 		next = s.limitedUntil
 	}
 
-	if s.held {
-		if retry := s.heldUntil; retry.Before(next) {
-			next = retry
-		}
-	}
-
 	if s.resting && (next.IsZero() || s.notices.Until().Before(next)) {
 		next = s.notices.Until()
 	}
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -5,6 +5,8 @@
 const (
 	// heldPeriod is the time after which a request that is held is looked at again, if no event comes before.
 	heldPeriod = 20 * time.Millisecond
+	// stepSpread is the time in which the events of one step of the server arrive.
+	stepSpread = 3 * time.Millisecond
 	// startReserve is the time before the latest start of a request in which it may hold up more and more streams. In lastPeriod after it, it may
 	// hold up all, and is looked at at least once.
 	startReserve = 300 * time.Millisecond
@@ -53,9 +55,22 @@
 	s.pace.ObserveSlowness(now, percent)
 }
 
-// Held reports whether a request waits only so that it does not hold up streams.
-func (s *Scheduler) Held() bool {
-	return s.held
+// HeldUntil returns when Dispatch may start a request that waits only so that it does not hold up streams; false if there is none.
+func (s *Scheduler) HeldUntil() (time.Time, bool) {
+	return s.heldUntil, s.held
+}
+
+// Recheck moves HeldUntil to when the events of one step of the server, which come nearly at once, have arrived. It is called after an event,
+// and reports whether HeldUntil has changed.
+func (s *Scheduler) Recheck(now time.Time) bool {
+	at := now.Add(stepSpread)
+	if !s.held || !at.Before(s.heldUntil) {
+		return false
+	}
+
+	s.heldUntil = at
+
+	return true
 }
 
 // harm is what a prompt does to the streams that are on time.
