--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -23,7 +23,7 @@
 	Entry   *command.Entry `arg:"subcommand:entry" help:"run an entry"`
 	Agent   *command.Agent `arg:"subcommand:agent" help:"run an agent beside a backend server"`
 	Ctl     *ctl.Args      `arg:"subcommand:ctl" help:"operate a fleet"`
-	Check   *check.Args    `arg:"subcommand:check" help:"validate settings and fleet files"`
+	Check   *check.Args    `arg:"subcommand:check" help:"validate settings, fleet files and configurations"`
 	Standin *standin.Args  `arg:"subcommand:standin" help:"run a stand-in for a part of the platform or a backend server"`
 	Hosted  *hosted.Args   `arg:"subcommand:hosted" help:"run an entry or agent on the users' platform, with the settings that it provides"`
 }
--- a/internal/ops/check/check.go
+++ b/internal/ops/check/check.go
@@ -1,4 +1,4 @@
-// Package check implements the command that validates settings and fleet files.
+// Package check implements the command that validates settings, fleet files and configurations of the hosted programs.
 package check
 
 import (
@@ -19,6 +19,8 @@
 	Entry *File `arg:"subcommand:entry" help:"the settings of an entry"`
 	Agent *File `arg:"subcommand:agent" help:"the settings of an agent"`
 	Fleet *File `arg:"subcommand:fleet" help:"a fleet file"`
+	// Platform is checked more thoroughly than the others, since the hosted programs accept a configuration with faults.
+	Platform *Platform `arg:"subcommand:platform" help:"the configuration of the hosted programs in the form of the users' platform"`
 
 	// Out receives the output; nil selects the standard output.
 	Out io.Writer `arg:"-"`
@@ -31,16 +33,20 @@
 
 // Run validates the file. A non-nil error is always a *ctl.ExitError.
 func (a *Args) Run(context.Context) error {
-	path, err := a.check()
-	if err != nil {
-		return &ctl.ExitError{Code: ctl.ExitUsage, Err: err}
-	}
-
 	out := a.Out
 	if out == nil {
 		out = os.Stdout
 	}
 
+	if a.Platform != nil {
+		return a.Platform.run(out)
+	}
+
+	path, err := a.check()
+	if err != nil {
+		return &ctl.ExitError{Code: ctl.ExitUsage, Err: err}
+	}
+
 	_, _ = fmt.Fprintf(out, "%s is valid\n", path)
 
 	return nil
@@ -55,7 +61,7 @@
 	case a.Fleet != nil:
 		return a.Fleet.Path, fleet(a.Fleet.Path)
 	default:
-		return "", errors.New("a subcommand is required: entry, agent or fleet")
+		return "", errors.New("a subcommand is required: entry, agent, fleet or platform")
 	}
 }
 
