--- a/internal/forward/upstream/copies_test.go
+++ b/internal/forward/upstream/copies_test.go
@@ -99,6 +99,7 @@
 		"full without id, other request":   {&copier{responses: []string{fullNoID, completeResponse}, copies: 1}, []string{"r1", "r2"}, false, 2},
 		"full without id, same request":    {&copier{responses: []string{fullNoID, completeResponse}, copies: 1}, []string{"r1", "r1"}, false, 2},
 		"another server, without id":       {&copier{responses: []string{otherNoID, completeResponse}, copies: 1}, []string{"r1", "r2"}, false, 2},
+		"another server, no id, later":     {&copier{responses: []string{completeResponse, otherNoID}}, []string{"r1", "r2"}, true, 1},
 		"refusal of no request, later":     {&copier{responses: []string{completeResponse}, before: idleTimeout}, []string{"r1", "r2"}, true, 1},
 		"success of no request, later":     {&copier{responses: []string{completeResponse}, before: strings.Replace(completeResponse, "Id: ID\r\n", "", 1)}, []string{"r1", "r2"}, false, 1},
 		"informational, success, success":  {&copier{responses: []string{completeResponse}, copies: 1, before: earlyHints}, []string{"r1", "r2", "r3"}, false, 1},
