--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/hangup"
-	"github.com/chestnutbeam/chestnutbeam/internal/ops/check"
+	"github.com/chestnutbeam/chestnutbeam/internal/program/check"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
 	"github.com/chestnutbeam/chestnutbeam/internal/program/command"
 	"github.com/chestnutbeam/chestnutbeam/internal/program/hosted"
--- a/internal/forward/triage/queue.go
+++ b/internal/forward/triage/queue.go
@@ -111,7 +111,7 @@
 // Plan returns the order in which the candidates are served, and what is expected of each. Requests of equal standing keep the order of their
 // due times, and those of equal due times that of the candidates. The result is valid until the next plan.
 //
-// The set of requests that are served in time is that of Moore and Hodgson's algorithm for the fewest late jobs on one machine, with
+// The set of requests that are served in time is that of Moore and Hodgson's algorithm for the fewest late jobs on one processor, with
 // urgency as weight: requests are taken by due time, and when one would be late, the least urgent ones leave the set, or the
 // one of its urgency with the most work for its gain.
 // A request that can't be on time takes part with the time at which it expires, and gives way to those of its urgency that can.
