--- a/cmd/chestnutbeam/main.go
+++ b/cmd/chestnutbeam/main.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/hangup"
-	"github.com/chestnutbeam/chestnutbeam/internal/program/check"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
+	"github.com/chestnutbeam/chestnutbeam/internal/program/check"
 	"github.com/chestnutbeam/chestnutbeam/internal/program/command"
 	"github.com/chestnutbeam/chestnutbeam/internal/program/hosted"
 	standin "github.com/chestnutbeam/chestnutbeam/internal/standin/command"
--- a/internal/program/check/check_test.go
+++ b/internal/program/check/check_test.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/chestnutbeam/chestnutbeam/internal/ops/check"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
+	"github.com/chestnutbeam/chestnutbeam/internal/program/check"
 )
 
 // Guards against example files that fail validation, and against an invalid file that passes.
--- a/internal/program/check/platform_test.go
+++ b/internal/program/check/platform_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/chestnutbeam/chestnutbeam/internal/ops/check"
 	"github.com/chestnutbeam/chestnutbeam/internal/ops/ctl"
+	"github.com/chestnutbeam/chestnutbeam/internal/program/check"
 )
 
 // run runs the command and returns its output and its exit code.
