Use usual terms in the duty packages

Name the steps of the clock offset after what they do, share the reader of a row's content, compare window numbers with cmp, and correct doc comments.

--- a/internal/duty/holder/counting.go
+++ b/internal/duty/holder/counting.go
@@ -9,47 +9,46 @@
 )
 
 const (
-	// placePeriod is the time between two looks whether the true time is known, and recordPeriod that between two messages to the agents.
-	placePeriod  = 100 * time.Millisecond
-	recordPeriod = time.Second
+	// clockCheckPeriod is the time between two checks whether the true time is known, and recordPeriod that between two messages to the agents.
+	clockCheckPeriod = 100 * time.Millisecond
+	recordPeriod     = time.Second
 	// recordDelay is the time from the end of a window until its counts are sent, and lateRecordDelay that until they are sent once more, with
 	// the plain requests that were not decided before.
 	recordDelay     = 50 * time.Millisecond
 	lateRecordDelay = 700 * time.Millisecond
-	// wantedClocks is the number of agents whose time of day is enough to tell the true time, and placeTimeout how long a process that starts
-	// waits for them.
-	wantedClocks = 3
-	placeTimeout = 3 * time.Second
+	// minClocks is the number of agents whose times of day suffice to determine the true time, and clockTimeout is how long a process that has
+	// just started waits for them.
+	minClocks    = 3
+	clockTimeout = 3 * time.Second
 )
 
-// Counting counts the requests of one entry by windows of the true time, and passes the counts on to agents. Its exported fields are set before
-// use.
+// Counting counts the requests of one entry by windows of the true time, and sends the counts to agents. Its exported fields are set before use.
 type Counting struct {
 	Counter *usage.Counter
 	// Clock returns the local time, which includes the time in which the VM was suspended.
 	Clock func() time.Duration
-	// Differences returns the differences between the time of day of agents and the local time, and Own that of this VM.
+	// Differences returns the differences between the times of day of agents and the local time, and Own the difference for this VM.
 	Differences func() []time.Duration
 	Own         func() time.Duration
-	// Record passes counts on to agents.
+	// Record sends counts to agents.
 	Record func(ctx context.Context, windows []usage.Window)
 
 	mu        sync.Mutex
 	startedAt time.Duration
 	started   bool
 	offset    time.Duration
-	placed    bool
-	// clocks is the number of agents that told offset.
+	hasOffset bool
+	// clocks is the number of agents from whose times of day offset was determined.
 	clocks int
 }
 
-// Run passes the counts on until the context ends, and then once more.
+// Run sends the counts to agents until the context ends. Flush sends the last ones.
 func (c *Counting) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := placePeriod
+		wait := clockCheckPeriod
 
 		if now, known := c.Now(); known {
-			c.Counter.Place(c.currentOffset())
+			c.Counter.SetOffset(c.currentOffset())
 			c.record(ctx)
 
 			wait = untilRecord(now, c.Counter.Length)
@@ -62,7 +61,7 @@
 	}
 }
 
-// Flush passes the counts on once more, at the end of the process.
+// Flush sends the counts once more, at the end of the process.
 func (c *Counting) Flush(ctx context.Context) {
 	c.record(ctx)
 }
@@ -111,10 +110,10 @@
 
 	c.update()
 
-	return c.Clock() + c.offset, c.placed
+	return c.Clock() + c.offset, c.hasOffset
 }
 
-// update takes up what the agents state. The lock must be held.
+// update determines the offset from the times of day of the agents. The lock must be held.
 func (c *Counting) update() {
 	if !c.started {
 		c.startedAt, c.started = c.Clock(), true
@@ -122,18 +121,18 @@
 
 	differences := c.Differences()
 
-	// Few clocks do not tell which of them is wrong.
-	if !c.placed && len(differences) < wantedClocks && c.Clock()-c.startedAt < placeTimeout {
+	// Among fewer clocks, the median may be a wrong one.
+	if !c.hasOffset && len(differences) < minClocks && c.Clock()-c.startedAt < clockTimeout {
 		return
 	}
 
-	// A process that has lost its agents keeps the time that they have told.
-	if c.placed && len(differences) < min(c.clocks, wantedClocks) {
+	// A process that has lost its connections to agents keeps the offset that they gave it.
+	if c.hasOffset && len(differences) < min(c.clocks, minClocks) {
 		return
 	}
 
 	c.clocks = len(differences)
-	c.offset, c.placed = usage.TrueOffset(append(differences, c.Own())), true
+	c.offset, c.hasOffset = usage.TrueOffset(append(differences, c.Own())), true
 }
 
 func (c *Counting) currentOffset() time.Duration {
--- a/internal/duty/holder/platform.go
+++ b/internal/duty/holder/platform.go
@@ -41,7 +41,7 @@
 	Row     *lease.Row
 }
 
-// Platform takes the calls that one VM makes at a time. An error that is no RefusedError leaves open whether the call took effect.
+// Platform receives the calls that only the holder of a lease may make. After an error other than a RefusedError, the call may have taken effect.
 type Platform interface {
 	// Report sends the usage report of a window.
 	Report(ctx context.Context, token Token, report lease.Report) error
--- a/internal/duty/holder/scaler.go
+++ b/internal/duty/holder/scaler.go
@@ -12,7 +12,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/duty/scale"
 )
 
-// scalePeriod is the time between two looks at the load.
+// scalePeriod is the time between two checks of the load.
 const scalePeriod = time.Second
 
 // Scaler orders servers. It takes the lease of a service in a failure domain only for an order, so that the store and the platform are called only
@@ -116,20 +116,20 @@
 // order takes the lease, sends the order, and releases the lease with the new number. If the process ends between, a successor finds the earlier
 // number in the row and orders again.
 func (s *Scaler) order(ctx context.Context, scaled *scaling, order ScaleOrder) {
-	lock := &scaled.subject
+	duty := &scaled.subject
 
-	if !lock.lease.IsOwn() || lock.lease.Left(s.Clock()) < callTimeout+callMargin {
-		if !lock.lease.IsOwn() && lock.lease.TakeAt() > s.Clock() {
-			scaled.nextTry = lock.lease.TakeAt()
+	if !duty.lease.IsOwn() || duty.lease.Left(s.Clock()) < callTimeout+callMargin {
+		if !duty.lease.IsOwn() && duty.lease.TakeAt() > s.Clock() {
+			scaled.nextTry = duty.lease.TakeAt()
 			return
 		}
 
-		if !lock.write(ctx, s.content(lock)) {
+		if !duty.write(ctx, duty.content()) {
 			return
 		}
 	}
 
-	timeout := min(callTimeout, lock.lease.Left(s.Clock())-callMargin)
+	timeout := min(callTimeout, duty.lease.Left(s.Clock())-callMargin)
 	if timeout < minCallTime {
 		return
 	}
@@ -137,8 +137,8 @@
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
-	fence := lock.lease.Fence()
-	log := s.Log.WithFields(logrus.Fields{fieldDuty: lock.key, fieldFence: fence, "servers": order.Servers})
+	fence := duty.lease.Fence()
+	log := s.Log.WithFields(logrus.Fields{fieldDuty: duty.key, fieldFence: fence, "servers": order.Servers})
 
 	err := s.Platform.Scale(bounded, Token{VM: s.Self.VM, Fence: fence}, order)
 	s.nextCall = s.Clock() + retryAfter(s.CallRate)
@@ -155,16 +155,7 @@
 	log.Info("scaling order sent")
 	scaled.decision.Done(order.Servers)
 
-	content := s.content(lock)
+	content := duty.content()
 	content.Servers = order.Servers
-	lock.releaseWith(content)
-}
-
-// content returns what the row holds.
-func (s *Scaler) content(lock *subject) lease.Content {
-	if row := lock.lease.Row(); row != nil {
-		return row.Content
-	}
-
-	return lease.Content{}
+	duty.releaseWith(content)
 }
--- a/internal/duty/holder/subject.go
+++ b/internal/duty/holder/subject.go
@@ -50,7 +50,7 @@
 	return int64(s.clock()) < s.heldUntil.Load()
 }
 
-// noteLease keeps until when the lease is held.
+// noteLease updates heldUntil.
 func (s *subject) noteLease() {
 	now := s.clock()
 	s.heldUntil.Store(int64(now + s.lease.Left(now)))
@@ -132,6 +132,15 @@
 	return ""
 }
 
+// content returns the content of the row; empty if there is no row.
+func (s *subject) content() lease.Content {
+	if row := s.lease.Row(); row != nil {
+		return row.Content
+	}
+
+	return lease.Content{}
+}
+
 // write takes or renews the lease with new content, and reports whether the row is known to hold it.
 func (s *subject) write(ctx context.Context, content lease.Content) bool {
 	wasOwn := s.lease.IsOwn()
@@ -149,8 +158,8 @@
 	return s.lease.IsOwn()
 }
 
-// send sends a write to the store. After a failure the row is read: the write may have taken effect. The end of the process does not cut the write
-// off, so that the lease can be released after it.
+// send sends a write to the store. After a failure the row is read: the write may have taken effect. The end of ctx does not cancel the write, so
+// that the lease can be released after it.
 func (s *subject) send(ctx context.Context, write lease.Write) bool {
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), lease.WriteTimeout)
 	defer cancel()
@@ -182,7 +191,7 @@
 	return s.read(ctx) && s.lease.Wrote(write)
 }
 
-// follow takes the lease, with the content that the row is to hold then, if it has expired, and waits for that or for a change otherwise.
+// follow takes the lease with the given content if it has expired. Otherwise it waits until the lease expires or the row changes.
 func (s *subject) follow(ctx context.Context, content func() lease.Content) {
 	if !s.lease.Known() && !s.read(ctx) {
 		s.pause(ctx, retryDelay)
@@ -230,7 +239,7 @@
 	log.Info("duty lease released")
 }
 
-// pause waits for a while, or until the context ends.
+// pause waits for the given time, or until the context ends.
 func (s *subject) pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(max(wait, time.Millisecond))
 	defer timer.Stop()
--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -24,8 +24,8 @@
 	// reportRetry is the time before a report is sent again, and rateShare the part of the rate of calls that one duty may use.
 	reportRetry = 500 * time.Millisecond
 	rateShare   = 0.5
-	// rolePeriod is the time between two looks whether this entry may hold the duty.
-	rolePeriod = 500 * time.Millisecond
+	// roleCheckPeriod is the time between two checks whether this entry may hold the duty.
+	roleCheckPeriod = 500 * time.Millisecond
 	// fieldWindow is the name of a log field.
 	fieldWindow = "window"
 )
@@ -88,22 +88,22 @@
 	r.subject.release()
 }
 
-// step does what is due, or waits for it.
+// step takes the next action of the duty, or waits until one is due.
 func (r *UsageReporter) step(ctx context.Context) {
 	_, known := r.Counting.Now()
 
 	switch {
 	case !known:
-		r.subject.pause(ctx, placePeriod)
+		r.subject.pause(ctx, clockCheckPeriod)
 	case !r.CanCount():
 		r.subject.release()
-		r.subject.pause(ctx, rolePeriod)
+		r.subject.pause(ctx, roleCheckPeriod)
 	case r.subject.lease.IsOwn():
 		r.serve(ctx)
 	case r.IsCandidate():
 		r.subject.follow(ctx, r.contentToTake)
 	default:
-		r.subject.pause(ctx, rolePeriod)
+		r.subject.pause(ctx, roleCheckPeriod)
 	}
 }
 
@@ -120,7 +120,7 @@
 	return r.book.Content()
 }
 
-// serve does what the holder has to do next.
+// serve takes the next action of the holder: it reads the row, fixes counts and renews the lease, or sends a report.
 func (r *UsageReporter) serve(ctx context.Context) {
 	now, _ := r.Counting.Now()
 	local := r.Counting.Clock()
@@ -206,7 +206,8 @@
 	return lease.Report{}, false
 }
 
-// fix writes the counts of the windows that have ended into the row, which renews the lease, and reports whether the row has them.
+// fix writes the counts of the windows that have ended into the row, which takes or renews the lease, and reports whether the row is known to
+// hold them.
 func (r *UsageReporter) fix(ctx context.Context, now time.Duration) bool {
 	windows := r.book.ToFix(now)
 	next := r.book.Content().NextWindow
@@ -231,7 +232,7 @@
 	return true
 }
 
-// report returns the report of a window as it is to be fixed; false if the window ended before the start of the system, without requests.
+// report returns the report of a window as it is to be fixed; false if the window has no requests and ended before this process started.
 func (r *UsageReporter) report(ctx context.Context, window int64) (lease.Report, bool) {
 	if report, ok := r.book.Proposed(window); ok {
 		return report, true
@@ -299,7 +300,7 @@
 	log.WithError(err).Warn("usage report refused or not answered")
 }
 
-// retryAfter returns the time between two calls of a duty, so that it stays within its part of the rate of calls.
+// retryAfter returns the time from a call of a duty until it is repeated, which keeps the duty within its part of the rate of calls.
 func retryAfter(rate float64) time.Duration {
 	return max(reportRetry, callSpacing(rate))
 }
--- a/internal/duty/lease/lease.go
+++ b/internal/duty/lease/lease.go
@@ -1,5 +1,5 @@
 // Package lease decides which VM holds a duty. A duty has one row in the store, and each change of the row is conditional on its version.
-// The package makes no calls: it is told what was read and written, and returns what may be written.
+// The package makes no calls: its callers report what was read and written, and it returns what may be written.
 package lease
 
 import (
@@ -93,8 +93,8 @@
 	// FirstStart is true if the whole system has just started for the first time, so that a missing row was never written.
 	FirstStart bool
 
-	// heard is true once the store has answered, and known is true while row and version are those of the last answer.
-	heard    bool
+	// observed is true once an answer of the store was observed, and known is true while row and version are those of the last answer.
+	observed bool
 	known    bool
 	row      *Row
 	version  int64
@@ -136,7 +136,7 @@
 	return l.row.Fence
 }
 
-// IsOwn reports whether the row names this process, which then goes on as the holder as long as nobody else takes the lease.
+// IsOwn reports whether the row names this process as the holder. It may do so after the lease has expired.
 func (l *Lease) IsOwn() bool {
 	return l.row != nil && l.row.Holder == l.Self
 }
@@ -158,7 +158,7 @@
 // Observe records what was read, and reports whether this process has lost the lease to another one.
 func (l *Lease) Observe(answer Answer) (lost bool) {
 	wasOwn := l.IsOwn()
-	restored := l.heard && answer.Era != l.era
+	restored := l.observed && answer.Era != l.era
 
 	if restored && answer.Unchanged {
 		// Versions are given out again, so that it is not known whether the row is the same.
@@ -166,22 +166,22 @@
 		return false
 	}
 
-	l.mapClock(answer, restored)
+	l.observeClock(answer, restored)
 
 	if answer.Unchanged {
 		return false
 	}
 
-	if !l.heard {
+	if !l.observed {
 		l.firstEra = answer.Era
 	}
 
-	if !l.heard || restored || answer.Version != l.version {
+	if !l.observed || restored || answer.Version != l.version {
 		l.seenAt = answer.Answered
 	}
 
 	l.row, l.version, l.era = answer.Row, answer.Version, answer.Era
-	l.heard, l.known = true, true
+	l.observed, l.known = true, true
 	l.observeStale(answer.Answered, restored)
 	l.resolvePending()
 	l.held = l.held && l.IsOwn()
@@ -189,8 +189,8 @@
 	return wasOwn && !l.IsOwn()
 }
 
-// mapClock keeps the store's clock of the latest answer that states it.
-func (l *Lease) mapClock(answer Answer, restored bool) {
+// observeClock records the reading of the store's clock in the latest answer that has one.
+func (l *Lease) observeClock(answer Answer, restored bool) {
 	if answer.Clock == 0 {
 		return
 	}
@@ -231,11 +231,12 @@
 	l.pending = nil
 }
 
-// latest returns the highest value that the store's clock can have at a local time, and earliest the lowest one.
+// latest returns the highest reading that the store's clock can have at a local time.
 func (l *Lease) latest(now time.Duration) time.Duration {
 	return l.clock + now - l.requested
 }
 
+// earliest returns the lowest reading that the store's clock can have at a local time.
 func (l *Lease) earliest(now time.Duration) time.Duration {
 	return l.clock + now - l.answered
 }
@@ -249,7 +250,7 @@
 		return 0
 	}
 
-	// The store's clock may have been set anew; a row that nobody has renewed for longer than a lease lasts has expired in any case.
+	// The store's clock may have been set back. A row that nobody has renewed for longer than a lease lasts has expired in any case.
 	at := min(l.localTime(l.row.Expires), l.seenAt+Duration) + ExpiryMargin
 
 	for _, former := range l.row.Former {
@@ -265,7 +266,7 @@
 	return at
 }
 
-// localTime returns the local time at which the store's clock has passed a reading for certain.
+// localTime returns the earliest local time at which the store's clock has certainly passed a reading.
 func (l *Lease) localTime(reading time.Duration) time.Duration {
 	return reading - l.clock + l.answered
 }
@@ -314,7 +315,8 @@
 
 // take returns the write that makes this process the holder.
 func (l *Lease) take(now time.Duration, content Content) Write {
-	// Versions rise within an era, so that the token does too, whatever the row holds: a late write of before a restore may have replaced it.
+	// Versions increase within an era. The token therefore increases too, whatever the row holds: a write from before a restore may have arrived
+	// late and replaced it.
 	row := Row{Holder: l.Self, Fence: l.era<<eraShift + l.version + 1}
 
 	if l.row != nil {
@@ -335,7 +337,7 @@
 	return append(l.former(now, l.row.Former), Former{VM: l.row.Holder.VM, LostAt: min(l.row.Expires, l.latest(now))})
 }
 
-// former returns the former holders that still matter.
+// former returns the former holders that lost the lease less than MinTenure ago, and thus may not take it yet.
 func (l *Lease) former(now time.Duration, all []Former) []Former {
 	var kept []Former
 
@@ -348,7 +350,7 @@
 	return kept
 }
 
-// write completes a row and keeps it until its outcome is known.
+// write completes a row and records it as pending until its outcome is known.
 func (l *Lease) write(now time.Duration, row Row, content Content) Write {
 	l.writes++
 	row.Write, row.Era, row.Content = l.writes, l.era, content
@@ -372,8 +374,8 @@
 	return released, true
 }
 
-// Confirm records that the write took effect, in an answer with the version of the row; 0 if that is not known. An answer of another era than that of the write does not
-// count: the store was restored meanwhile. The row is then read again.
+// Confirm records that the write took effect, from an answer with the version of the row; 0 if that is not known. An answer of another era than
+// that of the write does not count, because the store was restored in between. The row is then read again.
 func (l *Lease) Confirm(write Write, answer Answer) {
 	if answer.Era != write.Row.Era {
 		l.Fail()
--- a/internal/duty/usage/book.go
+++ b/internal/duty/usage/book.go
@@ -17,7 +17,7 @@
 	maxReports = 32
 )
 
-// Book holds what a process knows of the reports. Times are true times since the start of 1970.
+// Book holds the reports that a process knows. Times are true times since the start of 1970.
 type Book struct {
 	// Length is the length of a window, and Due the time from its end until its report must have arrived.
 	Length, Due time.Duration
--- a/internal/duty/usage/count.go
+++ b/internal/duty/usage/count.go
@@ -2,6 +2,7 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -13,8 +14,8 @@
 	minKept = 4
 	// decideTimeout is how long a plain request counts as not decided after it was sent; most refusals arrive sooner.
 	decideTimeout = 500 * time.Millisecond
-	// maxUnplaced is the number of requests that are kept while the true time is not known.
-	maxUnplaced = 1 << 16
+	// maxUntimed is the number of requests that are kept while the true time is not known.
+	maxUntimed = 1 << 16
 	// maxAccounts is the number of client accounts that are counted in a window.
 	maxAccounts = 1 << 14
 )
@@ -28,7 +29,7 @@
 	Counts Counts
 }
 
-// Sent is a plain request that was sent and counts unless the server refuses it.
+// Sent is a plain request that was sent. It counts unless the server refuses it.
 type Sent struct {
 	account string
 	at      time.Duration
@@ -36,40 +37,41 @@
 	decided bool
 }
 
-// unplaced is a request that began at a local time.
-type unplaced struct {
+// untimedRequest is a request that began before the true time was known.
+type untimedRequest struct {
 	account string
 	at      time.Duration
 }
 
-// Counter counts the requests of one entry. Times are local until Place states how they relate to the true time. It is safe for concurrent use.
+// Counter counts the requests of one entry. Times are local until SetOffset states how they relate to the true time. It is safe for concurrent use.
 type Counter struct {
 	// Length is the length of a window, and Due the time from its end until its report must have arrived.
 	Length, Due time.Duration
 
 	mu sync.Mutex
-	// offset is the difference between the true time and the local time; it is set if placed is true.
-	offset time.Duration
-	placed bool
-	// waiting holds the requests before the true time was known.
-	waiting []unplaced
+	// offset is the difference between the true time and the local time; it is set if hasOffset is true.
+	offset    time.Duration
+	hasOffset bool
+	// untimed holds the requests before the true time was known.
+	untimed []untimedRequest
 	// sent holds the plain requests that are not decided, in the order in which they were sent.
 	sent    []*Sent
 	windows map[int64]Counts
 }
 
-// Place states the difference between the true time, since the start of 1970, and the local time.
-func (c *Counter) Place(offset time.Duration) {
+// SetOffset sets the difference between the true time, since the start of 1970, and the local time, and counts the requests that began before
+// it was known.
+func (c *Counter) SetOffset(offset time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.offset, c.placed = offset, true
+	c.offset, c.hasOffset = offset, true
 
-	for _, request := range c.waiting {
+	for _, request := range c.untimed {
 		c.add(request.account, request.at, 1)
 	}
 
-	c.waiting = nil
+	c.untimed = nil
 }
 
 // Begin counts a request that has begun to run.
@@ -113,7 +115,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if !c.placed {
+	if !c.hasOffset {
 		return nil
 	}
 
@@ -127,7 +129,7 @@
 		windows = append(windows, Window{Number: number, Counts: maps.Clone(counts)})
 	}
 
-	slices.SortFunc(windows, func(a, b Window) int { return int(a.Number - b.Number) })
+	slices.SortFunc(windows, func(a, b Window) int { return cmp.Compare(a.Number, b.Number) })
 
 	return windows
 }
@@ -148,9 +150,9 @@
 
 // add adds to the count of a client account. The lock must be held.
 func (c *Counter) add(account string, at time.Duration, n int64) {
-	if !c.placed {
-		if len(c.waiting) < maxUnplaced {
-			c.waiting = append(c.waiting, unplaced{account: account, at: at})
+	if !c.hasOffset {
+		if len(c.untimed) < maxUntimed {
+			c.untimed = append(c.untimed, untimedRequest{account: account, at: at})
 		}
 
 		return
--- a/internal/duty/usage/records.go
+++ b/internal/duty/usage/records.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -61,7 +62,7 @@
 // put replaces a window, and keeps the latest ones.
 func (r *reported) put(window Window) {
 	window.Counts = bounded(window.Counts)
-	at, known := slices.BinarySearchFunc(r.windows, window.Number, func(w Window, number int64) int { return compare(w.Number, number) })
+	at, known := slices.BinarySearchFunc(r.windows, window.Number, func(w Window, number int64) int { return cmp.Compare(w.Number, number) })
 
 	if known {
 		r.windows[at] = window
@@ -75,17 +76,6 @@
 	}
 }
 
-func compare(a, b int64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // bounded returns the counts without those that cannot be true, and at most maxAccounts of them.
 func bounded(counts Counts) Counts {
 	kept := make(Counts, min(len(counts), maxAccounts))
--- a/internal/duty/usage/usage_test.go
+++ b/internal/duty/usage/usage_test.go
@@ -25,7 +25,7 @@
 	c.Begin(6*time.Second, "acme")
 	assert.Equal(t, len(c.Windows(6*time.Second)), 0, "the true time is not known")
 
-	c.Place(offset)
+	c.SetOffset(offset)
 	c.Begin(7*time.Second, "acme")
 	c.Begin(7*time.Second, "birch")
 	assert.DeepEqual(t, c.Windows(8*time.Second), []usage.Window{
@@ -54,7 +54,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			counter := &usage.Counter{Length: length, Due: due}
-			counter.Place(offset)
+			counter.SetOffset(offset)
 			sent := counter.Send(4*time.Second, "acme")
 			assert.Equal(t, countOf(counter.Windows(c.decided)), c.before)
 			counter.Decide(sent, c.ran)
@@ -77,7 +77,7 @@
 // Guards against a memory that grows with requests, client accounts or entries.
 func TestMemoryIsBounded(t *testing.T) {
 	counter := &usage.Counter{Length: length, Due: due}
-	counter.Place(offset)
+	counter.SetOffset(offset)
 
 	for i := range 20_000 {
 		counter.Begin(0, fmt.Sprint(i))
