Use usual terms in triage and schedule

Requests that cannot start before they expire are infeasible, and classes that are served too seldom have a deficit. Comments state rules in plain terms.

--- a/internal/forward/schedule/adapters.go
+++ b/internal/forward/schedule/adapters.go
@@ -118,7 +118,7 @@
 
 	for _, next := range s.plan(now) {
 		request := next.request
-		if next.hopeless || !s.needsLoad(request) || s.activeFetches() >= s.policy().MaxFetches && !s.canLoadFromCache(request) {
+		if next.infeasible || !s.needsLoad(request) || s.activeFetches() >= s.policy().MaxFetches && !s.canLoadFromCache(request) {
 			continue
 		}
 
--- a/internal/forward/schedule/plan.go
+++ b/internal/forward/schedule/plan.go
@@ -22,8 +22,8 @@
 // turn is the place of a request in the order in which requests are started.
 type turn struct {
 	request *Request
-	// hopeless is true if the request can't start before it expires, and retryAfter when there is room for one like it.
-	hopeless   bool
+	// infeasible is true if the request can't start before it expires, and retryAfter is the time after which there is capacity for one like it.
+	infeasible bool
 	retryAfter time.Duration
 }
 
@@ -39,9 +39,9 @@
 
 	for _, planned := range s.triage.Plan(now, s.busy(now), s.candidates) {
 		request := s.queue[planned.Index]
-		request.giveWay = planned.Standing == triage.Displaced
-		request.Displaced = request.Displaced || request.giveWay
-		turns = append(turns, turn{request: request, hopeless: planned.Standing == triage.Hopeless, retryAfter: planned.RetryAfter})
+		request.displacedNow = planned.Standing == triage.Displaced
+		request.Displaced = request.Displaced || request.displacedNow
+		turns = append(turns, turn{request: request, infeasible: planned.Standing == triage.Infeasible, retryAfter: planned.RetryAfter})
 	}
 
 	s.turns = turns
@@ -59,7 +59,7 @@
 			Work:      s.work(request),
 			Prefill:   present.Time(request.InputTokens),
 			Usual:     usual.Time(request.InputTokens),
-			Displaced: request.giveWay,
+			Displaced: request.displacedNow,
 		}
 
 		c.Work.Due = c.Work.Due.Add(-c.Prefill)
@@ -71,7 +71,7 @@
 		s.candidates = append(s.candidates, c)
 	}
 
-	triage.MarkOwed(s.candidates, &s.shares)
+	triage.MarkUnderserved(s.candidates, &s.shares)
 }
 
 // work describes a request; its due time is that of its first event.
--- a/internal/forward/schedule/request.go
+++ b/internal/forward/schedule/request.go
@@ -25,22 +25,22 @@
 	// Urgency is the priority among waiting requests; 0 is the highest.
 	Urgency int
 	Arrived time.Time
-	// Due is when the first event should come; requests that can't meet it give way to those that can.
+	// Due is when the first event should come; requests that can't meet it go after those of their urgency that can.
 	Due time.Time
 	// Expires is the latest time at which the request may start; it is refused afterwards.
 	Expires time.Time
 	// GapTarget is the longest time between two events for which the stream is on time; 0 for none.
 	GapTarget time.Duration
-	// Resumed is true if the request goes on with a stream of which its client has a part.
+	// Resumed is true if the request continues a stream of which its client has a part.
 	Resumed bool
 
-	// Displaced is true once the request gave way although it could have been on time alone.
+	// Displaced is true once a plan displaced the request, which could have been on time alone.
 	Displaced bool
 
 	phase phase
-	// giveWay is true if the latest plan displaced the request.
-	giveWay bool
-	// held is true once the request waited so that it did not hold up streams.
+	// displacedNow is true if the latest plan displaced the request.
+	displacedNow bool
+	// held is true once the request waited so that it did not delay streams.
 	held bool
 	// fetched is true if the adapter was not loaded when the request arrived.
 	fetched bool
@@ -52,7 +52,7 @@
 	late bool
 }
 
-// Held reports whether the request has waited so that its prefill did not hold up streams.
+// Held reports whether the request has waited so that its prefill did not delay streams.
 func (r *Request) Held() bool {
 	return r.held
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -39,7 +39,7 @@
 
 	limits Limits
 	report Report
-	// triage plans the order of the queue, and shares tells to which kinds of requests service is owed. candidates and turns are the memory of
+	// triage plans the order of the queue, and shares determines which kinds of requests were served too seldom. candidates and turns are the memory of
 	// the latest plan.
 	triage     triage.Queue
 	shares     triage.Shares
@@ -54,10 +54,10 @@
 	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
 	pace       pace.Estimator
 	prefillEnd time.Time
-	// stalled is the time in which streams got no tokens because of prefills that have ended, since the begin.
+	// stalled is the total time in which streams got no tokens because of prefills that have ended.
 	stalled time.Duration
-	// held is true if a request waits only so that it does not hold up streams, as of the last dispatch, and heldUntil when that is looked
-	// at again without an event.
+	// held is true if a request waits only so that it does not delay streams, as of the last dispatch, and heldUntil is when that is checked
+	// again without an event.
 	held      bool
 	heldUntil time.Time
 	// heldUrgency is the urgency of the most urgent request that is held and fits after the next events; less urgent ones don't start before it.
@@ -236,14 +236,14 @@
 			continue
 		}
 
-		if next.hopeless {
+		if next.infeasible {
 			err := fault.New(fault.Overloaded, "the request would expire before it can start at the backend server").WithRetryAfter(next.retryAfter)
 			actions = append(actions, s.refuse(request, true, err))
 
 			continue
 		}
 
-		if s.hasCapacity(now, request) && s.isLoaded(request) && !s.holdsUpStreams(now, request) && s.limiter.Take(now, 0) {
+		if s.hasCapacity(now, request) && s.isLoaded(request) && !s.delaysStreams(now, request) && s.limiter.Take(now, 0) {
 			s.start(now, request)
 			actions = append(actions, Start{Request: request})
 
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -3,23 +3,23 @@
 import "time"
 
 const (
-	// heldPeriod is the time after which a request that is held is looked at again, if no event comes before.
+	// heldPeriod is the time after which a held request is checked again, if no event comes before.
 	heldPeriod = 20 * time.Millisecond
 	// stepSpread is the time in which the events of one step of the server arrive.
 	stepSpread = 3 * time.Millisecond
-	// startReserve is the time before the latest start of a request in which it may hold up more and more streams. In lastPeriod after it, it may
-	// hold up all, and is looked at at least once.
+	// startReserve is the period before the latest start of a request in which the weight of the streams that it may delay increases linearly. In
+	// lastPeriod after it, it may delay all of them, and is checked at least once.
 	startReserve = 300 * time.Millisecond
 	lastPeriod   = 2 * heldPeriod
-	// expiryMargin is the time between the expiry of a request and the end of its client's patience, which entries leave for the prefill.
+	// expiryMargin is the time between the expiry of a request and the timeout of its client, which entries leave for the prefill.
 	expiryMargin = 400 * time.Millisecond
-	// lessThanOwn keeps a request from making a stream of its own urgency late.
-	lessThanOwn = 0.99
+	// ownUrgencyFactor keeps the weight that a request may make late below its own, so that it makes no stream of its own urgency late.
+	ownUrgencyFactor = 0.99
 	// stepsPerEvent is the least number of steps of a server in which it makes the tokens of an event.
 	stepsPerEvent = 3
-	// lateHarm is the number of streams of its own urgency that a late request may make late before it expires: it earns up to a third of the value
+	// maxLateHarm is the number of streams of its own urgency that a late request may make late before it expires: it earns up to a third of the value
 	// of a stream on time, each of which loses two thirds, and the largest are worth four times the mean.
-	lateHarm = 2
+	maxLateHarm = 2
 )
 
 // ObserveEvent records an event of the response to a request. The first one ends its prefill; it reports whether this is the first one.
@@ -55,7 +55,7 @@
 	s.pace.ObserveSlowness(now, percent)
 }
 
-// HeldUntil returns when Dispatch may start a request that waits only so that it does not hold up streams; false if there is none.
+// HeldUntil returns when Dispatch may start a request that waits only so that it does not delay streams; false if there is none.
 func (s *Scheduler) HeldUntil() (time.Time, bool) {
 	return s.heldUntil, s.held
 }
@@ -81,9 +81,9 @@
 	always bool
 }
 
-// holdsUpStreams reports whether the request is to wait because streams that are on time would be held up by its prefill: the server makes no
-// event until a prompt is prefilled. It is started when the streams that would be late for it weigh no more than what it loses by a wait.
-func (s *Scheduler) holdsUpStreams(now time.Time, request *Request) bool {
+// delaysStreams reports whether the request is to wait because its prefill would delay streams that are on time: the server makes no event until
+// a prompt is prefilled. The request is started once the weight of the streams that it makes late is allowed by allowedHarm.
+func (s *Scheduler) delaysStreams(now time.Time, request *Request) bool {
 	if s.policy().IgnoreGaps {
 		return false
 	}
@@ -91,7 +91,7 @@
 	prefill := s.pace.PrefillTime(now, request.InputTokens)
 	expected := s.expectedHarm(now, prefill)
 
-	allowed := allowedHarm(now, request, prefill, s.mostHarm(request, expected.running))
+	allowed := allowedHarm(now, request, prefill, s.maxHarm(request, expected.running))
 	if s.policy().FixedHarm {
 		allowed = fixedHarm(now, request, expected.running)
 	}
@@ -123,21 +123,21 @@
 	}
 }
 
-// mostHarm returns the weight of the streams on time that a request may make late before it expires, of those that run with the given weight. It
+// maxHarm returns the weight of the streams on time that a request may make late before it expires, of those that run with the given weight. It
 // may make all late if requests of its size or urgency are starved; otherwise, it costs less if it is refused.
-func (s *Scheduler) mostHarm(request *Request, running float64) float64 {
-	if s.shares.Owed(s.work(request)) > 0 {
+func (s *Scheduler) maxHarm(request *Request, running float64) float64 {
+	if s.shares.Deficit(s.work(request)) > 0 {
 		return running
 	}
 
-	return min(running, weight(request.Urgency)*lateHarm)
+	return min(running, weight(request.Urgency)*maxLateHarm)
 }
 
 // allowedHarm returns the weight of the streams on time that a request may make late now, of those that it may make late at most.
 //   - As long as it can wait and still be on time, it makes no stream late.
 //   - When it would be late otherwise, it makes less urgent streams late that weigh less than itself together.
-//   - When it is late, it waits for a moment at which it harms none. In the last time before its client leaves, the weight that it may harm grows
-//     to the most, so that it starts at a moment that harms few.
+//   - When it is late, it waits until it makes no stream late. In startReserve before its latest start, the allowed weight increases to the
+//     maximum, so that it starts at a time at which it makes few streams late.
 func allowedHarm(now time.Time, request *Request, prefill time.Duration, most float64) float64 {
 	latest := request.Expires.Add(-max(prefill-expiryMargin, 0))
 	if left := latest.Sub(now) - lastPeriod; left < startReserve {
@@ -146,7 +146,7 @@
 
 	spare := request.Due.Sub(now) - prefill
 	if spare >= 0 && spare < heldPeriod {
-		return weight(request.Urgency) * lessThanOwn
+		return weight(request.Urgency) * ownUrgencyFactor
 	}
 
 	return 0
--- a/internal/forward/triage/queue.go
+++ b/internal/forward/triage/queue.go
@@ -9,15 +9,15 @@
 const (
 	// maxUrgency is the least urgent class that is told apart; all less urgent requests count as it.
 	maxUrgency = 9
-	// returnReserve is how much earlier than its due time a displaced request must be able to start before it counts as on time again, so that
+	// onTimeHysteresis is how much earlier than its due time a displaced request must be able to start before it counts as on time again, so that
 	// small changes of the pace don't change its standing with each decision.
-	returnReserve = 30 * time.Millisecond
+	onTimeHysteresis = 30 * time.Millisecond
 	// urgentReserve is the time that a request has left at its start at least if a less urgent one goes before it: a moment of slowness, of half a
 	// second at 2.5 times the usual, delays it by as much.
 	urgentReserve = 300 * time.Millisecond
 	// outputWeight is the value of an output token to callers, in prompt tokens.
 	outputWeight = 10
-	// resumedGain multiplies the gain of a request that goes on with a stream: what was spent on the first part is lost if it is not served.
+	// resumedGain multiplies the gain of a request that continues a stream: what was spent on the first part is lost if it is not served.
 	resumedGain = 2
 )
 
@@ -30,8 +30,8 @@
 	Ready time.Duration
 	// Displaced is true if the previous plan displaced the request.
 	Displaced bool
-	// Owed is true if requests of its kind or size are starved; it goes first.
-	Owed bool
+	// Underserved is true if requests of its kind or size are starved; it goes first.
+	Underserved bool
 }
 
 // Busy is the time for which a server still prefills prompts that it has begun, at its present and at its usual pace.
@@ -46,12 +46,12 @@
 const (
 	// OnTime means that the request is expected to start in time for an event that is on time.
 	OnTime Standing = iota
-	// Late means that the request can't be on time any more, and starts when there is room.
+	// Late means that the request can no longer be on time, and starts when there is capacity.
 	Late
-	// Displaced means that the request could be on time alone, and gives way to others.
+	// Displaced means that the request could be on time alone, but is delayed in favor of others.
 	Displaced
-	// Hopeless means that the request can't start before it expires.
-	Hopeless
+	// Infeasible means that the request can't start before it expires, and is refused.
+	Infeasible
 )
 
 // Turn is the place of a request in the order of service.
@@ -61,23 +61,23 @@
 	Standing Standing
 	// Start is the expected time until its start.
 	Start time.Duration
-	// RetryAfter is the time until the work that goes before a new request of the same urgency is done; it is set for Hopeless.
+	// RetryAfter is the time until the work that goes before a new request of the same urgency is done; it is set for Infeasible.
 	RetryAfter time.Duration
 }
 
-// MarkOwed marks the candidate to which most is owed by the shares; none if nothing is owed or there is no other candidate. What is owed to the
-// others follows with later plans, so that it delays requests that could be on time by one prompt at a time.
-func MarkOwed(candidates []Candidate, shares *Shares) {
+// MarkUnderserved marks the candidate with the largest deficit; none if there is no deficit or no other candidate. The deficits of the others are
+// made up by later plans, so that each plan delays requests that could be on time by one prompt only.
+func MarkUnderserved(candidates []Candidate, shares *Shares) {
 	most, at := 0.0, -1
 
 	for i := range candidates {
-		if owed := shares.Owed(candidates[i].Work); owed > most {
-			most, at = owed, i
+		if deficit := shares.Deficit(candidates[i].Work); deficit > most {
+			most, at = deficit, i
 		}
 	}
 
 	if at >= 0 && len(candidates) > 1 {
-		candidates[at].Owed = true
+		candidates[at].Underserved = true
 	}
 }
 
@@ -94,7 +94,8 @@
 
 // job is a candidate during a plan. All times are relative to the plan.
 type job struct {
-	// rank decides which request gives way if not all can be served; that with the highest rank does. place decides about the order.
+	// rank decides which request is dropped if not all can be served in time: the one with the highest rank. place decides about the order of
+	// those that are.
 	rank, place int
 	standing    Standing
 	// last is the latest start, and deadline the time by which the requests are ordered.
@@ -104,17 +105,17 @@
 	expires time.Duration
 	// slack is how much later the job could start.
 	slack time.Duration
-	// cost is the work of the job by its gain to callers.
+	// cost is the work of the job divided by its gain to callers.
 	cost float64
 }
 
-// Plan returns the order in which the candidates are served, and what is expected of each. Requests of equal standing keep the order of their
+// Plan returns the order in which the candidates are served, and the expected standing of each. Requests of equal standing keep the order of their
 // due times, and those of equal due times that of the candidates. The result is valid until the next plan.
 //
-// The set of requests that are served in time is that of Moore and Hodgson's algorithm for the fewest late jobs on one machine, with
+// The set of requests that are served in time is that of Moore and Hodgson's algorithm for the fewest late jobs on one processor, with
 // urgency as weight: requests are taken by due time, and when one would be late, the least urgent ones leave the set, or the
 // one of its urgency with the most work for its gain.
-// A request that can't be on time takes part with the time at which it expires, and gives way to those of its urgency that can.
+// A request that can't be on time is planned with its expiry in place of its due time, and ranks after those of its urgency that can.
 func (q *Queue) Plan(now time.Time, busy Busy, candidates []Candidate) []Turn {
 	q.begin(now, busy, candidates)
 	q.choose(busy)
@@ -158,7 +159,7 @@
 
 	reserve := time.Duration(0)
 	if c.Displaced {
-		reserve = returnReserve
+		reserve = onTimeHysteresis
 	}
 
 	if max(busy.Present, c.Ready)+reserve <= due {
@@ -174,7 +175,7 @@
 		}
 	}
 
-	if c.Owed {
+	if c.Underserved {
 		added.rank, added.place, added.deadline = 0, 0, math.MinInt64
 	}
 
@@ -185,7 +186,7 @@
 	return min(max(urgency, 0), maxUrgency)
 }
 
-// cost returns the work of a request by its gain. Callers gain with the size of a request.
+// cost returns the work of a request divided by its gain to callers, which increases with its size.
 func cost(c *Candidate) float64 {
 	gain := float64(c.Work.Tokens + outputWeight*c.Work.Output)
 	if c.Work.Resumed {
@@ -247,7 +248,7 @@
 		victim := -1
 
 		for i, index := range q.set {
-			if q.jobs[index].rank > rank && (victim < 0 || q.givesWay(index, q.set[victim])) {
+			if q.jobs[index].rank > rank && (victim < 0 || q.dropsBefore(index, q.set[victim])) {
 				victim = i
 			}
 		}
@@ -258,8 +259,8 @@
 	return freed
 }
 
-// givesWay reports whether job a leaves the set before job b.
-func (q *Queue) givesWay(a, b int) bool {
+// dropsBefore reports whether job a leaves the set before job b.
+func (q *Queue) dropsBefore(a, b int) bool {
 	first, second := &q.jobs[a], &q.jobs[b]
 	if first.rank != second.rank {
 		return first.rank > second.rank
@@ -341,8 +342,8 @@
 	}
 }
 
-// assess fills the turns. A request is hopeless if it expires before the prompts that go before it are prefilled at the usual pace: a moment
-// of slowness may be over soon.
+// assess fills the turns. A request is infeasible if it expires before the prompts that go before it are prefilled at the usual pace, because a
+// transient slowdown may be over soon.
 func (q *Queue) assess(busy Busy, candidates []Candidate) {
 	end, certain := busy.Present, min(busy.Usual, busy.Present)
 
@@ -358,7 +359,7 @@
 		}
 
 		if certain > next.expires {
-			turn.Standing = Hopeless
+			turn.Standing = Infeasible
 		} else {
 			end += next.work
 			certain += min(c.Usual, c.Prefill)
@@ -369,7 +370,7 @@
 	}
 
 	for i := range q.turns {
-		if q.turns[i].Standing == Hopeless {
+		if q.turns[i].Standing == Infeasible {
 			q.turns[i].RetryAfter = retryAfter(busy, &candidates[q.turns[i].Index], &work)
 		}
 	}
--- a/internal/forward/triage/queue_test.go
+++ b/internal/forward/triage/queue_test.go
@@ -27,7 +27,7 @@
 
 // describe renders turns as one letter of the standing and the index of each request, in order.
 func describe(turns []triage.Turn) string {
-	names := map[triage.Standing]string{triage.OnTime: "o", triage.Late: "l", triage.Displaced: "d", triage.Hopeless: "h"}
+	names := map[triage.Standing]string{triage.OnTime: "o", triage.Late: "l", triage.Displaced: "d", triage.Infeasible: "h"}
 
 	words := make([]string, 0, len(turns))
 	for _, turn := range turns {
@@ -120,7 +120,7 @@
 			want:       "l1 h0",
 		},
 		"service is owed": {
-			candidates: []triage.Candidate{candidate(0, 100*ms, 120*ms, 3*time.Second), change(candidate(5, 100*ms, -ms, 3*time.Second), func(c *triage.Candidate) { c.Owed = true })},
+			candidates: []triage.Candidate{candidate(0, 100*ms, 120*ms, 3*time.Second), change(candidate(5, 100*ms, -ms, 3*time.Second), func(c *triage.Candidate) { c.Underserved = true })},
 			want:       "l1 d0",
 		},
 	}
@@ -224,7 +224,7 @@
 
 			assert.Assert(t, turn.Standing != triage.OnTime || !start.Add(end).After(candidates[turn.Index].Work.Due))
 
-			if turn.Standing != triage.Hopeless {
+			if turn.Standing != triage.Infeasible {
 				end += candidates[turn.Index].Prefill
 			}
 		}
--- a/internal/forward/triage/shares.go
+++ b/internal/forward/triage/shares.go
@@ -3,11 +3,11 @@
 const (
 	// classShare is how often a kind of request or requests whose adapter is not loaded must be served at least, by how often all are, and
 	// sizeShare how often the requests of a size must be, by how often the whole kind is. Both are above what callers are promised (a quarter
-	// and a half), because what is owed is only served some time later.
+	// and a half), because a deficit is only made up some time later.
 	classShare, sizeShare = 0.35, 0.6
 	// urgentMargin is how much smaller the served share of a kind may be than that of a less urgent one, as callers are promised.
 	urgentMargin = 0.02
-	// minOutcomes is the number of outcomes of a class below which nothing is owed to it.
+	// minOutcomes is the number of outcomes of a class below which it has no deficit.
 	minOutcomes = 8
 	// maxOutcomes is the number of outcomes after which all counts are halved, so that the latest ones count most.
 	maxOutcomes = 512
@@ -19,8 +19,8 @@
 // same bound.
 var sizeQuantiles = [...]float64{0.5, 0.7, 0.8, 0.9}
 
-// Shares counts which of the requests in a queue were served, by urgency, by size and by whether their adapter was loaded, and tells to which of
-// these classes service is owed. The zero value is ready to use.
+// Shares counts which of the requests in a queue were served, by urgency, by size and by whether their adapter was loaded, and determines which of
+// these classes were served too seldom. The zero value is ready to use.
 type Shares struct {
 	all, fetched outcomes
 	kinds        [maxUrgency + 1]kind
@@ -56,25 +56,25 @@
 	}
 }
 
-// Owed returns how much too seldom requests like this one were served, as a share of how often they must be: 0 if nothing is owed, 1 if none
-// was served.
-func (s *Shares) Owed(work Work) float64 {
+// Deficit returns how much less often than required requests like this one were served, as a part of the required share: 0 if there is no
+// deficit, 1 if none was served.
+func (s *Shares) Deficit(work Work) float64 {
 	k := &s.kinds[urgencyClass(work.Urgency)]
-	owed := k.missing(classShare, &s.all)
+	deficit := k.missing(classShare, &s.all)
 
 	for i := urgencyClass(work.Urgency) + 1; i <= maxUrgency; i++ {
-		owed = max(owed, k.behind(&s.kinds[i].outcomes))
+		deficit = max(deficit, k.behind(&s.kinds[i].outcomes))
 	}
 
 	if work.Fetch {
-		owed = max(owed, s.fetched.missing(classShare, &s.all))
+		deficit = max(deficit, s.fetched.missing(classShare, &s.all))
 	}
 
 	if size := k.size(float64(work.Tokens)); size >= 0 {
-		owed = max(owed, k.sizes[size].missing(sizeShare, &k.outcomes))
+		deficit = max(deficit, k.sizes[size].missing(sizeShare, &k.outcomes))
 	}
 
-	return owed
+	return deficit
 }
 
 func (s *Shares) halve() {
@@ -133,7 +133,7 @@
 	}
 }
 
-// missing returns the share that is missing to being served as often as the given part of all; 0 if none is.
+// missing returns by how much the served share is below the given part of that of all, as a part of the latter; 0 if it is not below.
 func (o *outcomes) missing(part float64, all *outcomes) float64 {
 	wanted := part * all.served * o.ended
 	if o.ended < minOutcomes || wanted == 0 {
@@ -143,7 +143,7 @@
 	return max(1-o.served*all.ended/wanted, 0)
 }
 
-// behind returns by how much the share that was served is smaller than that of less urgent requests; 0 if it is so by less than urgentMargin.
+// behind returns by how much the served share is smaller than that of less urgent requests; 0 if the difference is below urgentMargin.
 func (o *outcomes) behind(lessUrgent *outcomes) float64 {
 	if o.ended < minOutcomes || lessUrgent.ended < minOutcomes {
 		return 0
--- a/internal/forward/triage/shares_test.go
+++ b/internal/forward/triage/shares_test.go
@@ -71,7 +71,7 @@
 			request := waiting[turn.Index]
 
 			switch {
-			case turn.Standing == triage.Hopeless:
+			case turn.Standing == triage.Infeasible:
 				hopeless[request] = true
 			case begun == nil:
 				begun = request
@@ -99,7 +99,7 @@
 		candidates = append(candidates, triage.Candidate{Work: a.work, Prefill: a.prefill, Usual: a.prefill})
 	}
 
-	triage.MarkOwed(candidates, shares)
+	triage.MarkUnderserved(candidates, shares)
 
 	return candidates
 }
--- a/internal/forward/triage/work.go
+++ b/internal/forward/triage/work.go
@@ -1,10 +1,10 @@
-// Package triage decides which requests are served, delayed or refused when there is too little room for all: those whose delay or refusal
-// costs callers least, by their urgency, their deadlines and the work that they need. Its decisions use no network.
+// Package triage decides under overload which requests are served, delayed or refused: it delays and refuses those for which this costs callers
+// least, by their urgency, their deadlines and the work that they need. Its decisions use no network.
 package triage
 
 import "time"
 
-// Work describes a request that competes for room.
+// Work describes a request that competes for capacity.
 type Work struct {
 	// Urgency is the priority of the request; 0 is the highest.
 	Urgency int
@@ -14,6 +14,6 @@
 	Tokens, Output int64
 	// Fetch is true if an adapter has to be loaded first.
 	Fetch bool
-	// Resumed is true if the request goes on with a stream of which its client has a part.
+	// Resumed is true if the request continues a stream of which its client has a part.
 	Resumed bool
 }
