--- a/internal/wire/connlimit/conn.go
+++ b/internal/wire/connlimit/conn.go
@@ -17,7 +17,7 @@
 	refusalTimeout = 500 * time.Millisecond
 	// dropTimeout bounds the time to read the rest of a message that is refused.
 	dropTimeout = 2 * time.Second
-	// idleNumerator and idleDenominator give the part of the idle timeout after which an idle connection may yield. Clients use a connection
+	// idleNumerator and idleDenominator give the part of the idle timeout after which an idle connection may be evicted. Clients use a connection
 	// again within four fifths of the timeout.
 	idleNumerator, idleDenominator = 9, 10
 )
@@ -36,7 +36,7 @@
 	since time.Time
 	// served is true once a request has been accepted.
 	served bool
-	// closed is true once no bytes count any more: the connection was refused, has yielded or was closed.
+	// closed is true once bytes are no longer counted: the connection was refused, evicted or closed.
 	closed bool
 }
 
@@ -61,7 +61,7 @@
 	return n, err //nolint:wrapcheck // see above
 }
 
-// take counts bytes that have been read. Closed is true if they are to be dropped.
+// take counts bytes that have been read, and returns why they are refused; empty if they are not. closed is true if they are to be dropped.
 func (c *conn) take(data []byte) (reason Reason, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,7 +77,7 @@
 	return reason, false
 }
 
-// refuse sends the refusal, and waits until the client is likely to have it.
+// refuse sends the refusal and waits for refusalTimeout, in which the client is likely to receive it.
 func (c *conn) refuse(reason Reason, buffer []byte) {
 	c.listener.report(reason)
 
@@ -91,7 +91,7 @@
 	}
 }
 
-// dropRest reads what precedes the refusal and reports whether that can be sent.
+// dropRest reads and drops what must be read before the refusal, and reports whether the refusal can be sent then.
 func (c *conn) dropRest(buffer []byte) bool {
 	more := c.limit.drop(nil)
 	if more && c.SetReadDeadline(time.Now().Add(dropTimeout)) != nil {
@@ -110,16 +110,17 @@
 	return true
 }
 
-// mayYield reports whether the connection may be closed for another one, and since when it waits for a request.
-func (c *conn) mayYield(now time.Time) (since time.Time, ok bool) {
+// waitsSince returns since when the connection waits for a request; false if it must not be closed for another one.
+func (c *conn) waitsSince(now time.Time) (since time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.since, c.yields(now)
+	return c.since, c.isEvictable(now)
 }
 
-// yields reports whether the connection may be closed for another one. The lock must be held.
-func (c *conn) yields(now time.Time) bool {
+// isEvictable reports whether the connection may be closed for another one: none of its requests was accepted yet, or it has been idle for nearly as long as
+// clients may use it again. The lock must be held.
+func (c *conn) isEvictable(now time.Time) bool {
 	if c.closed || !c.limit.isPending() {
 		return false
 	}
@@ -141,7 +142,7 @@
 func (c *conn) evict(now time.Time) bool {
 	c.mu.Lock()
 
-	if !c.yields(now) {
+	if !c.isEvictable(now) {
 		c.mu.Unlock()
 		return false
 	}
--- a/internal/wire/connlimit/listener.go
+++ b/internal/wire/connlimit/listener.go
@@ -1,6 +1,6 @@
-// Package connlimit bounds what connections take before a request is accepted: their number, the heads that are being read, and the bytes
-// that the kernel keeps for them (SetReadBuffer). net/http has a bound for the bytes of one head, which is fixed when the server starts and does not
-// count what a parsed head takes, and none for connections.
+// Package connlimit bounds what connections take before a request is accepted: their number, the heads and drpc messages that are being read, and
+// the bytes that the kernel keeps for them (SetReadBuffer). net/http has a bound for the bytes of one head, which is fixed when the server starts
+// and does not count what a parsed head takes, and none for connections.
 package connlimit
 
 import (
@@ -20,7 +20,7 @@
 type Reason string
 
 const (
-	// TooMany is a connection beyond the bound, or one that yielded to a newer one.
+	// TooMany is a connection beyond the bound, or one that was evicted for a newer one.
 	TooMany Reason = "connections"
 	// TooLarge is a head or a frame that is larger than its limit.
 	TooLarge Reason = "size"
@@ -34,6 +34,8 @@
 	readBuffer = 16 << 10
 	// KernelBytes is what the kernel keeps for a connection at most: it doubles the size that is set.
 	KernelBytes = 2 * readBuffer
+	// evictionTries bounds the candidates that are tried for one new connection.
+	evictionTries = 4
 )
 
 // SetReadBuffer sets the receive buffer of the connections that a listener accepts; it is the Control of a net.ListenConfig. Set on an accepted
@@ -50,15 +52,15 @@
 
 // Limit decides what may be read from one connection. It is not safe for concurrent use.
 type Limit interface {
-	// take is told the bytes that have been read and returns why they exceed the limit; empty if they do not.
+	// take counts bytes that have been read, and returns why they exceed the limit; empty if they do not.
 	take(data []byte) Reason
-	// isPending reports whether nothing has been accepted from the connection yet, or not since the last request.
+	// isPending reports whether no request or message has been accepted yet, or none since the last response.
 	isPending() bool
-	// observe is told the state that an HTTP server gives the connection.
+	// observe records the state that an HTTP server gives the connection.
 	observe(state http.ConnState)
 	// refusal returns what is sent before the connection is closed for a reason; nil sends nothing.
 	refusal(reason Reason) []byte
-	// drop is told bytes that are read and dropped after a refusal, and reports whether more are to be read before the refusal is sent.
+	// drop counts bytes that are read and dropped after a refusal, and reports whether more are to be read before the refusal is sent.
 	drop(data []byte) (more bool)
 	// release gives back the memory.
 	release()
@@ -71,7 +73,7 @@
 	MaxConns int
 	// NewLimit returns the limit of a new connection.
 	NewLimit func() Limit
-	// IdleTimeout returns for how long clients may use an idle connection again; nil if a connection never yields because it is idle.
+	// IdleTimeout returns for how long clients may use an idle connection again; nil if idle connections are never evicted.
 	IdleTimeout func() time.Duration
 	// OnRefuse is called when a connection is refused or closed; may be nil.
 	OnRefuse func(reason Reason)
@@ -114,13 +116,13 @@
 	}
 }
 
-// makeRoom reports whether there is room for another connection, and closes one that may be closed if there is none otherwise.
+// makeRoom reports whether another connection may be added. If the bound is reached, it first evicts one that may be closed.
 func (l *Listener) makeRoom() bool {
 	if l.MaxConns <= 0 || int(l.Count()) < l.MaxConns {
 		return true
 	}
 
-	// The candidate may have got its request since it was found, so that another one is looked for.
+	// A candidate may have received its request since it was found; another one is tried then.
 	for range evictionTries {
 		candidate := l.findCandidate(time.Now())
 		if candidate == nil {
@@ -137,10 +139,7 @@
 	return false
 }
 
-// evictionTries bounds the candidates that are tried for one new connection.
-const evictionTries = 4
-
-// findCandidate returns the connection that may be closed and has waited longest; nil if there is none.
+// findCandidate returns the connection that has waited longest of those that may be evicted; nil if there is none.
 func (l *Listener) findCandidate(now time.Time) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -151,7 +150,7 @@
 	)
 
 	for c := range l.conns {
-		if waits, ok := c.mayYield(now); ok && (found == nil || waits.Before(since)) {
+		if waits, ok := c.waitsSince(now); ok && (found == nil || waits.Before(since)) {
 			found, since = c, waits
 		}
 	}
@@ -187,7 +186,7 @@
 	}
 }
 
-// reserve changes a reservation and returns NoMemory if the budget does not allow it.
+// reserve changes the size of a reservation, and returns NoMemory if the budget does not allow it.
 func reserve(reservation *memory.Reservation, bytes int64) Reason {
 	if reservation.Resize(bytes) {
 		return ""
