--- a/internal/core/stall/meter.go
+++ b/internal/core/stall/meter.go
@@ -47,7 +47,7 @@
 	return m.total + m.sinceDue(now)
 }
 
-// sinceDue returns how late the next tick is. A tick that is late by less than a period is usual. The lock must be held.
+// sinceDue returns how late the next tick is; 0 if it is late by less than a period, which is usual. The lock must be held.
 func (m *Meter) sinceDue(now time.Time) time.Duration {
 	if m.last.IsZero() {
 		return 0
--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -101,7 +101,7 @@
 	watchers map[*watcher]bool
 	// notified is the state at the last urgent notification of the watchers.
 	notified schedule.State
-	// wake ends the wait of the control loop, and recheck has it look at the held requests earlier; the capacity of both is 1.
+	// wake ends the wait of the control loop, and recheck makes it check the held requests earlier; the capacity of both is 1.
 	wake, recheck chan struct{}
 }
 
@@ -313,7 +313,7 @@
 	}
 }
 
-// countQueued counts what the queue did to a request that leaves it.
+// countQueued counts whether a request that leaves the queue was displaced or held in it.
 func (a *Agent) countQueued(scheduled *schedule.Request) {
 	if scheduled.Displaced {
 		metric.Count(a.Metrics, "queue.displaced")
--- a/internal/forward/entry/handover.go
+++ b/internal/forward/entry/handover.go
@@ -39,7 +39,7 @@
 func (w *silenceWatch) ask(next *job, server fleet.Server, silent error) {
 	ctx, cancel := context.WithCancel(w.parent)
 	h := &handover{server: server, cancel: cancel, ctx: ctx, events: make(chan message.Event), ended: make(chan struct{})}
-	h.leaving = errors.Is(silent, errServerLeaving)
+	h.leaving = errors.Is(silent, errServerEnding)
 	w.asked = h
 
 	metric.Count(w.entry.Metrics, "silence.asked")
@@ -62,7 +62,7 @@
 	}
 
 	if h.leaving {
-		return w.hearNext(h, next, event)
+		return w.handleNext(h, next, event)
 	}
 
 	if _, sent := event.(message.RequestSent); !sent {
--- a/internal/forward/entry/leaving_test.go
+++ b/internal/forward/entry/leaving_test.go
@@ -101,7 +101,7 @@
 			next := r.afterGivingUp(silentServer)
 			// The server goes on after the other one was asked.
 			assert.NilError(t, r.handle(piece("id: 1\ndata: b\n\n")))
-			watch.ask(next, successor, errServerLeaving)
+			watch.ask(next, successor, errServerEnding)
 			asked := watch.asked
 			watch.observe(time.Now(), piece("id: 1\ndata: b\n\n"))
 			watch.mu.Unlock()
@@ -127,7 +127,7 @@
 			}
 
 			<-ctx.Done()
-			assert.ErrorIs(t, watch.stop(), errServerLeaving)
+			assert.ErrorIs(t, watch.stop(), errServerEnding)
 
 			j.splitter.Resume()
 
--- a/internal/forward/entry/loads.go
+++ b/internal/forward/entry/loads.go
@@ -9,9 +9,9 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
 )
 
-// slownessMemory is how long a server counts as slow without a further statement. One that is known as slow for good may get no request, and can
-// only state that it is well again in a response to one: it is to be used again within 2 s.
-const slownessMemory = 1500 * time.Millisecond
+// maxSlownessAge is how long a server counts as slow without a further statement. One that is known as permanently slow may get no request, but
+// can only state that it has recovered in a response to one: it is to be used again within 2 s.
+const maxSlownessAge = 1500 * time.Millisecond
 
 // plainLoads tracks the number of running and waiting requests at each server of plain services, and how slow it is.
 type plainLoads struct {
@@ -23,13 +23,13 @@
 type plainLoad struct {
 	own    int
 	others int
-	// pace has what the server states of its slowness.
+	// pace estimates the slowness of the server from its statements.
 	pace pace.Estimator
 }
 
 // slowness returns how long work is expected to take now, in percent of what is usual for such servers.
 func (p *plainLoad) slowness(now time.Time) int {
-	if _, age := p.pace.Stated(now); age > slownessMemory {
+	if _, age := p.pace.Stated(now); age > maxSlownessAge {
 		return pace.Usual
 	}
 
--- a/internal/forward/entry/response.go
+++ b/internal/forward/entry/response.go
@@ -175,7 +175,7 @@
 	}
 
 	written := time.Now()
-	r.job.lateness.Observe(lateness.Event{Received: received, Written: written, Stood: r.entry.Standstill.Total(written)})
+	r.job.lateness.Observe(lateness.Event{Received: received, Written: written, Stalled: r.entry.Standstill.Total(written)})
 
 	return nil
 }
--- a/internal/forward/entry/scale.go
+++ b/internal/forward/entry/scale.go
@@ -1,10 +1,9 @@
 package entry
 
 import (
-	"time"
-
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/duty/scale"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
--- a/internal/forward/entry/silence.go
+++ b/internal/forward/entry/silence.go
@@ -155,7 +155,7 @@
 func (w *silenceWatch) untilSilent(now time.Time) (time.Duration, error) {
 	left, err := w.untilSilence(now)
 	if move, known := w.untilMove(now); known && move < left {
-		return move, errServerLeaving
+		return move, errServerEnding
 	}
 
 	return left, err
@@ -232,8 +232,8 @@
 		return
 	}
 
-	if w.movable() {
-		wait = min(wait, leaveCheckPeriod)
+	if w.canMove() {
+		wait = min(wait, drainCheckPeriod)
 	}
 
 	w.dueAt = time.Now().Add(wait)
@@ -256,7 +256,7 @@
 // takeOver gives up the server if another one can take the request over and the retry budget allows it, and reports whether it did. The
 // response may have gone on during the search. If the agent of the server is heard, the other one is asked first.
 func (w *silenceWatch) takeOver(next *job, silent error) bool {
-	asks := next.service.Engine != nil && errors.IsAny(silent, errServerSilent, errServerLeaving)
+	asks := next.service.Engine != nil && errors.IsAny(silent, errServerSilent, errServerEnding)
 	if asks {
 		next.gaveUp = nil
 	}
--- a/internal/forward/lateness/lateness.go
+++ b/internal/forward/lateness/lateness.go
@@ -1,4 +1,4 @@
-// Package lateness tells for one stream of events whether it is on time for its client, and if not, whether the first event was late, the
+// Package lateness determines for one stream of events whether it is on time for its client, and if not, whether the first event was late, the
 // server paused, or the process that forwards the stream delayed it.
 package lateness
 
@@ -34,31 +34,31 @@
 	// longestReceived is the longest time that this process waited for an event after the previous one was written, and longestWritten the
 	// longest time between the ends of two writes. Both are at least 0.
 	longestReceived, longestWritten time.Duration
-	// lastWritten is the end of the last write, and lastStood the time that the process had stood still until then; lastWritten is zero
-	// before the first event.
+	// lastWritten is the end of the last write, or the arrival of the request before the first event. lastStalled is the time for which the process
+	// had stalled until then.
 	lastWritten time.Time
-	lastStood   time.Duration
+	lastStalled time.Duration
 }
 
 // Event is one or more whole events that were received at once.
 type Event struct {
 	// Received is when the event was received, and Written when its write to the client ended.
 	Received, Written time.Time
-	// Stood is the total time that the process has stood still.
-	Stood time.Duration
+	// Stalled is the total time for which the process has stalled.
+	Stalled time.Duration
 }
 
-// Begin records the arrival of the request.
-func (s *Stream) Begin(arrived time.Time, stood time.Duration) {
-	*s = Stream{lastWritten: arrived, lastStood: stood, firstWritten: -1}
+// Begin records the arrival of the request, and the total time for which the process has stalled until now.
+func (s *Stream) Begin(arrived time.Time, stalled time.Duration) {
+	*s = Stream{lastWritten: arrived, lastStalled: stalled, firstWritten: -1}
 }
 
 // Observe records an event. Begin was called before.
 //
-// An event that arrives while the previous one is being written, or while the process stands still, is received late. The time from the end of
-// the previous write, less that of standstills, is therefore taken as the pause of the server.
+// An event that arrives while the previous one is being written, or while the process is stalled, is received late. The time from the end of the
+// previous write, less that of stalls, is therefore taken as the pause of the server.
 func (s *Stream) Observe(event Event) {
-	received := max(event.Received.Sub(s.lastWritten)-(event.Stood-s.lastStood), 0)
+	received := max(event.Received.Sub(s.lastWritten)-(event.Stalled-s.lastStalled), 0)
 	written := event.Written.Sub(s.lastWritten)
 
 	if s.firstWritten < 0 {
@@ -68,7 +68,7 @@
 		s.longestWritten = max(s.longestWritten, written)
 	}
 
-	s.lastWritten, s.lastStood = event.Written, event.Stood
+	s.lastWritten, s.lastStalled = event.Written, event.Stalled
 }
 
 // LongestGap returns the longest pause between two events for the client.
--- a/internal/forward/lateness/lateness_test.go
+++ b/internal/forward/lateness/lateness_test.go
@@ -17,7 +17,7 @@
 
 // event is an event that was received and written after the given times in milliseconds, when the process had stood still for the given time.
 func event(received, written, stood int) lateness.Event {
-	return lateness.Event{Received: at(received), Written: at(written), Stood: time.Duration(stood) * time.Millisecond}
+	return lateness.Event{Received: at(received), Written: at(written), Stalled: time.Duration(stood) * time.Millisecond}
 }
 
 // Guards against a pause of the server that counts as late forwarding, and against a slow client or a standstill of the process for which the
--- a/internal/forward/link/usage.go
+++ b/internal/forward/link/usage.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// usageHolders is the number of agents that an entry has remember its counts.
-	usageHolders = 3
+	// usageReplicas is the number of agents that keep the counts of an entry.
+	usageReplicas = 3
 	// usageTimeout limits one call about counts.
 	usageTimeout = 300 * time.Millisecond
 )
@@ -46,8 +46,8 @@
 	return differences
 }
 
-// HasMostAgents reports whether at least half of the agents are connected, and any is. The counts of an entry are with three agents, so that one that
-// reaches fewer agents may miss those of many entries.
+// HasMostAgents reports whether at least half of the agents are connected, and at least one is. The counts of an entry are kept by three agents;
+// an entry that reaches fewer than half of all agents may miss the counts of many entries.
 func (l *Links) HasMostAgents() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,33 +63,33 @@
 	return connected > 0 && 2*connected >= len(l.links)
 }
 
-// UsageClient passes on to agents what this entry has counted for usage reports, and reads what others have counted.
+// UsageClient sends the counts of this entry for usage reports to agents, and reads those of other entries.
 type UsageClient struct {
 	Links *Links
 	// Entry is the name of this entry, and Process the id of this process.
 	Entry, Process string
 }
 
-// Record has agents remember what this entry has counted, always the same ones as long as they are connected.
+// Record sends the counts of this entry to the agents that keep them, which are the same ones as long as they are connected.
 func (u *UsageClient) Record(ctx context.Context, windows []usage.Window) {
 	report := &relay.UsageReport{Entry: u.Entry, Process: u.Process, Windows: convert.UsageWindowsToWire(windows)}
 	addresses := u.Links.ranked(u.Entry)
-	done := make(chan struct{}, usageHolders)
-	asked := addresses[:min(len(addresses), usageHolders)]
+	done := make(chan struct{}, usageReplicas)
+	replicas := addresses[:min(len(addresses), usageReplicas)]
 
-	for _, address := range asked {
+	for _, address := range replicas {
 		go func() {
 			u.record(ctx, address, report)
 			done <- struct{}{}
 		}()
 	}
 
-	for range asked {
+	for range replicas {
 		<-done
 	}
 }
 
-// record has the agent at an address remember the counts. After an error the next message replaces them, which has the counts of all windows.
+// record sends the counts to the agent at an address. Errors are ignored: the next message has the counts of all windows again.
 func (u *UsageClient) record(ctx context.Context, address string, report *relay.UsageReport) {
 	bounded, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
--- a/internal/forward/pace/pace.go
+++ b/internal/forward/pace/pace.go
@@ -1,5 +1,5 @@
 // Package pace estimates how fast one model server works: how long it takes to prefill a prompt, and how long its streams take from one event
-// to the next. Servers share their VMs with others, so that they differ for good, and each may be slow for moments.
+// to the next. Servers share their VMs with others, so that they differ permanently, and each may be slow for short times.
 package pace
 
 import (
@@ -10,8 +10,8 @@
 const (
 	// Usual is the slowness of a server that works as fast as usual, in percent.
 	Usual = 100
-	// freshTime is how long a statement of the slowness counts in full, and staleTime when it no longer counts. Moments of slowness last for
-	// about half a second, so that an older statement tells less than what is usual.
+	// freshTime is how long a statement of the slowness counts in full, and staleTime is the age from which it no longer counts. Transient
+	// slowdowns last for about half a second, so that an older statement predicts less than the usual value.
 	freshTime = 100 * time.Millisecond
 	staleTime = 500 * time.Millisecond
 	// statementCount is the number of statements whose lowest is what is usual for the server.
@@ -94,8 +94,8 @@
 	return usual + int(share*float64(stated-usual))
 }
 
-// Rate returns how many prompt tokens the server usually prefills in a second; 0 if none was observed. A server that is slow for good has a low
-// rate.
+// Rate returns how many prompt tokens the server usually prefills in a second; 0 if none was observed. A server that is permanently slow has a
+// low rate.
 func (e *Estimator) Rate() float64 {
 	if e.tokenTime == 0 {
 		return 0
@@ -138,12 +138,12 @@
 	return e.scale(now, e.eventTime)
 }
 
-// scale returns the time that work takes now that takes the given time at the usual pace.
+// scale converts a duration at the usual pace to the one that is expected now.
 func (e *Estimator) scale(now time.Time, at time.Duration) time.Duration {
 	return at * time.Duration(e.Slowness(now)) / Usual
 }
 
-// normalize is the reverse of scale.
+// normalize converts a duration that was observed now to the one at the usual pace.
 func (e *Estimator) normalize(now time.Time, took time.Duration) time.Duration {
 	return took * Usual / time.Duration(e.Slowness(now))
 }
--- a/internal/forward/pace/prefill.go
+++ b/internal/forward/pace/prefill.go
@@ -1,9 +1,6 @@
 package pace
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Prefill is the expected pace at which prompts are prefilled.
 type Prefill struct {
@@ -27,11 +24,7 @@
 
 // UsualPrefill returns the pace that is usual for the server.
 func (e *Estimator) UsualPrefill() Prefill {
-	if len(e.statements) == 0 {
-		return e.prefillAt(Usual)
-	}
-
-	return e.prefillAt(slices.Min(e.statements))
+	return e.prefillAt(e.usual())
 }
 
 func (e *Estimator) prefillAt(slowness int) Prefill {
--- a/internal/forward/refuse/refuse.go
+++ b/internal/forward/refuse/refuse.go
@@ -45,21 +45,21 @@
 	case !candidate.Found:
 		return fault.New(fault.NoServer, "no model server is available for the request").WithRetryAfter(jitter(candidate.ID, noServerRetry))
 	case candidate.ExpectedWait > candidate.MaxWait && candidate.ExpectedWait > candidate.Objective:
-		return fault.New(fault.Overloaded, "the expected wait is at least %d ms at every model server", candidate.ExpectedWait.Milliseconds()).WithRetryAfter(roomRetry(&candidate))
+		return fault.New(fault.Overloaded, "the expected wait is at least %d ms at every model server", candidate.ExpectedWait.Milliseconds()).WithRetryAfter(capacityRetry(&candidate))
 	default:
 		return nil
 	}
 }
 
-// roomRetry returns the retry delay for a request whose wait is too long: the time until the work ahead of it is done at the best server, spread
+// capacityRetry returns the retry delay for a request whose wait is too long: the time until the work ahead of it is done at the best server, spread
 // over the clients, and no longer than useful.
-func roomRetry(candidate *Candidate) time.Duration {
-	room := candidate.ExpectedWait
+func capacityRetry(candidate *Candidate) time.Duration {
+	delay := candidate.ExpectedWait
 	if candidate.Useful > 0 {
-		room = min(room, time.Duration(float64(candidate.Useful)/(1+jitterShare)))
+		delay = min(delay, time.Duration(float64(candidate.Useful)/(1+jitterShare)))
 	}
 
-	return jitter(candidate.ID, room)
+	return jitter(candidate.ID, delay)
 }
 
 // NoPlainServer returns the error for a request to a plain service without an available server. The time until one that wants no
--- a/internal/forward/triage/queue.go
+++ b/internal/forward/triage/queue.go
@@ -12,8 +12,8 @@
 	// onTimeHysteresis is how much earlier than its due time a displaced request must be able to start before it counts as on time again, so that
 	// small changes of the pace don't change its standing with each decision.
 	onTimeHysteresis = 30 * time.Millisecond
-	// urgentReserve is the time that a request has left at its start at least if a less urgent one goes before it: a moment of slowness, of half a
-	// second at 2.5 times the usual, delays it by as much.
+	// urgentReserve is the time that a request has left at its start at least if a less urgent one goes before it: a transient slowdown of half a second
+	// at 2.5 times the usual delays it by as much.
 	urgentReserve = 300 * time.Millisecond
 	// outputWeight is the value of an output token to callers, in prompt tokens.
 	outputWeight = 10
--- a/internal/ops/inspect/diff.go
+++ b/internal/ops/inspect/diff.go
@@ -16,7 +16,7 @@
 	keys   []string
 }
 
-// field is a value for a person, with its name.
+// field is a value in readable form, with its name.
 type field struct {
 	name, value string
 }
@@ -156,16 +156,16 @@
 	return items
 }
 
-func text(name string, value any) field {
+func newField(name string, value any) field {
 	return field{name, fmt.Sprint(value)}
 }
 
 func routeFields(route catalog.Route) []field {
 	return []field{
-		text("host", strconv.Quote(route.Host)), text("prefix", strconv.Quote(route.Prefix)), text("stream", route.Stream),
-		text("retry policy", retryPolicy(route.RetryPolicy)), text("timeout", route.Timeout), text("latency target", route.Objective),
-		text("longest pause", route.GapTarget), text("priority", route.Urgency), text("services", targets(route.Targets)),
-		text("attempts", route.MaxAttempts), text("public", route.Public),
+		newField("host", strconv.Quote(route.Host)), newField("prefix", strconv.Quote(route.Prefix)), newField("stream", route.Stream),
+		newField("retry policy", retryPolicy(route.RetryPolicy)), newField("timeout", route.Timeout), newField("latency target", route.Objective),
+		newField("longest pause", route.GapTarget), newField("priority", route.Urgency), newField("services", targets(route.Targets)),
+		newField("attempts", route.MaxAttempts), newField("public", route.Public),
 	}
 }
 
@@ -190,10 +190,10 @@
 }
 
 func serviceFields(service catalog.Service) []field {
-	fields := []field{text("cold rate", service.ColdRate)}
+	fields := []field{newField("cold rate", service.ColdRate)}
 
 	if scale := service.Scale; scale != nil {
-		fields = append(fields, text("fewest servers", scale.Min), text("most servers", scale.Max), text("boot time", scale.Boot))
+		fields = append(fields, newField("fewest servers", scale.Min), newField("most servers", scale.Max), newField("boot time", scale.Boot))
 	}
 
 	engine := service.Engine
@@ -201,12 +201,12 @@
 		return fields
 	}
 
-	fields = append(fields, text("slots", engine.Slots), text("cache tokens", engine.KVCapacity),
-		text("weights in MB", engine.CapacityMB), text("adapters held", engine.AdapterSlots))
+	fields = append(fields, newField("slots", engine.Slots), newField("cache tokens", engine.KVCapacity),
+		newField("weights in MB", engine.CapacityMB), newField("adapters held", engine.AdapterSlots))
 
 	for i, model := range engine.Models {
 		place := Place(KindModel, model.Name, i)
-		fields = append(fields, text(place+" in MB", model.WeightsMB), text(place+" adapter in MB", model.AdapterMB))
+		fields = append(fields, newField(place+" in MB", model.WeightsMB), newField(place+" adapter in MB", model.AdapterMB))
 	}
 
 	return fields
@@ -214,12 +214,12 @@
 
 func accountFields(account catalog.Account) []field {
 	fields := []field{
-		text("counts tokens", account.CountsTokens), text("usual cost", account.DefaultCost),
-		text("rate", account.Rate), text("burst", account.Burst),
+		newField("counts tokens", account.CountsTokens), newField("usual cost", account.DefaultCost),
+		newField("rate", account.Rate), newField("burst", account.Burst),
 	}
 
 	if account.HasUrgency {
-		fields = append(fields, text("priority", account.Urgency))
+		fields = append(fields, newField("priority", account.Urgency))
 	}
 
 	return fields
@@ -227,7 +227,7 @@
 
 func limitFields(limits catalog.Limits) []field {
 	return []field{
-		text("largest header", limits.MaxHeaderBytes), text("largest body", limits.MaxBodyBytes),
-		text("header timeout", limits.HeaderTimeout), text("idle timeout", limits.IdleTimeout),
+		newField("largest header", limits.MaxHeaderBytes), newField("largest body", limits.MaxBodyBytes),
+		newField("header timeout", limits.HeaderTimeout), newField("idle timeout", limits.IdleTimeout),
 	}
 }
--- a/internal/ops/inspect/inspect.go
+++ b/internal/ops/inspect/inspect.go
@@ -9,7 +9,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
 )
 
-// Class says what is wrong with an entry of the configuration.
+// Class is the kind of a fault in an entry of the configuration.
 type Class string
 
 // The values of Class.
@@ -59,7 +59,7 @@
 	PlaceVersion = "version"
 )
 
-// Place names an entry for a person; an entry without a name is named by its position, which index counts from 0.
+// Place returns a readable name of an entry; an entry without a name is named by its position, which index counts from 0.
 func Place(kind, name string, index int) string {
 	if name == "" {
 		return kind + " number " + strconv.Itoa(index+1)
--- a/internal/program/hosted/connections.go
+++ b/internal/program/hosted/connections.go
@@ -22,7 +22,7 @@
 	// connBytes is what one connection takes at most without the budget: buffers and stacks, the receive buffer of the kernel, and a head
 	// and a body that need no budget.
 	connBytes = 24<<10 + connlimit.KernelBytes + connlimit.FreeHeadBytes + freeBodyBytes
-	// reservedDescriptors are those that the platform reserves for files.
+	// reservedDescriptors is the number of descriptors that the platform reserves for files.
 	reservedDescriptors = 200
 	// clientDescriptorShare is the part of the other descriptors, as a divisor, for connections of clients; a request may need one more to
 	// a backend server.
--- a/internal/program/hosted/duties.go
+++ b/internal/program/hosted/duties.go
@@ -15,7 +15,7 @@
 	"github.com/chestnutbeam/chestnutbeam/platform"
 )
 
-// flushUsageTimeout limits the last message about counts at the end of the process.
+// flushUsageTimeout limits the last message about counts and the wait for the release of leases at the end of the process.
 const flushUsageTimeout = 150 * time.Millisecond
 
 // duties runs the duties of one VM in an entry. A nil pointer runs none.
@@ -66,7 +66,7 @@
 	server.Usage = d.counting
 	d.reporter = &holder.UsageReporter{
 		Store: rows, Platform: cloud, Tallies: client, Counting: d.counting, Self: self, IsCandidate: server.Links.IsReader,
-		// Without agents nobody tells the counts of other entries.
+		// Only agents know the counts of other entries.
 		CanCount: func() bool {
 			return server.Links.HasMostAgents() || server.WithoutAgents() && server.Links.KnownEntries() <= 1
 		},
@@ -91,7 +91,7 @@
 	}
 }
 
-// finish passes on the last counts, and waits until the leases are released.
+// finish sends the last counts, and waits until the leases are released, for flushUsageTimeout in total.
 func (d *duties) finish() {
 	if d == nil {
 		return
--- a/internal/wire/connlimit/conn.go
+++ b/internal/wire/connlimit/conn.go
@@ -118,8 +118,8 @@
 	return c.since, c.isEvictable(now)
 }
 
-// isEvictable reports whether the connection may be closed for another one: none of its requests was accepted yet, or it has been idle for nearly as long as
-// clients may use it again. The lock must be held.
+// isEvictable reports whether the connection may be closed for another one: none of its requests was accepted yet, or it has been idle for nearly
+// as long as clients may use it again. The lock must be held.
 func (c *conn) isEvictable(now time.Time) bool {
 	if c.closed || !c.limit.isPending() {
 		return false
