--- a/internal/forward/convert/usage.go
+++ b/internal/forward/convert/usage.go
@@ -5,7 +5,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-// UsageWindowsToWire converts what an entry has counted.
+// UsageWindowsToWire converts the counts of an entry to messages.
 func UsageWindowsToWire(windows []usage.Window) []*relay.UsageWindow {
 	wire := make([]*relay.UsageWindow, 0, len(windows))
 
@@ -16,7 +16,7 @@
 	return wire
 }
 
-// UsageWindowsFromWire converts what an entry has counted.
+// UsageWindowsFromWire converts messages to the counts of an entry.
 func UsageWindowsFromWire(wire []*relay.UsageWindow) []usage.Window {
 	windows := make([]usage.Window, 0, len(wire))
 
@@ -27,7 +27,7 @@
 	return windows
 }
 
-// UsageTalliesToWire converts what an agent knows of a window.
+// UsageTalliesToWire converts the tallies of a window to messages.
 func UsageTalliesToWire(tallies []usage.Tally) []*relay.UsageTally {
 	wire := make([]*relay.UsageTally, 0, len(tallies))
 
@@ -38,7 +38,7 @@
 	return wire
 }
 
-// UsageTalliesFromWire converts what an agent knows of a window.
+// UsageTalliesFromWire converts messages to the tallies of a window.
 func UsageTalliesFromWire(wire []*relay.UsageTally) []usage.Tally {
 	tallies := make([]usage.Tally, 0, len(wire))
 
