Start large prompts in the end, and at once where events come during a prefill

A late prompt could make at most two streams of its own urgency late, and was refused otherwise; the shares against starvation did not see what other agents refused.

The agent learns the time between events during a prefill; where it is in time for a stream, a prompt does not wait for that stream.

--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -54,6 +54,8 @@
 	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
 	pace       pace.Estimator
 	prefillEnd time.Time
+	// prefillStart is when the last prefill began.
+	prefillStart time.Time
 	// stalled is the total time in which streams got no tokens because of prefills that have ended.
 	stalled time.Duration
 	// held is true if a request waits only so that it does not delay streams, as of the last dispatch, and heldUntil is when that is checked
@@ -336,7 +338,7 @@
 	s.prefillTokens += request.InputTokens
 	s.usedTokens += request.InputTokens + request.MaxOutputTokens
 	request.phase = prefilling
-	request.sentAt = now
+	request.sentAt, s.prefillStart = now, now
 
 	if s.active == nil {
 		s.active = map[*Request]bool{}
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -17,9 +17,6 @@
 	ownUrgencyFactor = 0.99
 	// stepsPerEvent is the least number of steps of a server in which it makes the tokens of an event.
 	stepsPerEvent = 3
-	// maxLateHarm is the number of streams of its own urgency that a late request may make late before it expires: it earns up to a third of the value
-	// of a stream on time, each of which loses two thirds, and the largest are worth four times the mean.
-	maxLateHarm = 2
 )
 
 // ObserveEvent records an event of the response to a request. The first one ends its prefill; it reports whether this is the first one.
@@ -38,8 +35,11 @@
 		took := now.Sub(request.lastEvent)
 		request.late = request.late || request.GapTarget > 0 && took > request.GapTarget
 
-		if s.prefilling == 0 && request.lastEvent.After(s.prefillEnd) {
+		switch {
+		case s.prefilling == 0 && request.lastEvent.After(s.prefillEnd):
 			s.pace.ObserveEvent(now, took)
+		case s.prefilling > 0 && request.lastEvent.After(s.prefillStart):
+			s.pace.ObserveChunkedEvent(now, took)
 		}
 	case waiting, ended:
 		return false
@@ -91,7 +91,7 @@
 	prefill := s.pace.PrefillTime(now, request.InputTokens)
 	expected := s.expectedHarm(now, prefill)
 
-	allowed := allowedHarm(now, request, prefill, s.maxHarm(request, expected.running))
+	allowed := allowedHarm(now, request, prefill, expected.running)
 	if s.policy().FixedHarm {
 		allowed = fixedHarm(now, request, expected.running)
 	}
@@ -123,25 +123,16 @@
 	}
 }
 
-// maxHarm returns the weight of the streams on time that a request may make late before it expires, of those that run with the given weight. It
-// may make all late if requests of its size or urgency are starved; otherwise, it costs less if it is refused.
-func (s *Scheduler) maxHarm(request *Request, running float64) float64 {
-	if s.shares.Deficit(s.work(request)) > 0 {
-		return running
-	}
-
-	return min(running, weight(request.Urgency)*maxLateHarm)
-}
-
-// allowedHarm returns the weight of the streams on time that a request may make late now, of those that it may make late at most.
+// allowedHarm returns the weight of the streams on time that a request may make late now, of those that run. Each request may start in the end:
+// if large prompts were refused because of the streams, their size would be starved where they are much larger than the others.
 //   - As long as it can wait and still be on time, it makes no stream late.
 //   - When it would be late otherwise, it makes less urgent streams late that weigh less than itself together.
 //   - When it is late, it waits until it makes no stream late. In startReserve before its latest start, the allowed weight increases to the
 //     maximum, so that it starts at a time at which it makes few streams late.
-func allowedHarm(now time.Time, request *Request, prefill time.Duration, most float64) float64 {
+func allowedHarm(now time.Time, request *Request, prefill time.Duration, running float64) float64 {
 	latest := request.Expires.Add(-max(prefill-expiryMargin, 0))
 	if left := latest.Sub(now) - lastPeriod; left < startReserve {
-		return most * min(1-float64(left)/float64(startReserve), 1)
+		return running * min(1-float64(left)/float64(startReserve), 1)
 	}
 
 	spare := request.Due.Sub(now) - prefill
@@ -157,11 +148,13 @@
 	return 1 / float64(int(1)<<min(max(urgency, 0), UrgencyClasses))
 }
 
-// expectedHarm returns the harm of a prompt that is prefilled for the given time.
+// expectedHarm returns the harm of a prompt that is prefilled for the given time. A server that makes events while it prefills, in time for a
+// stream, does not harm that one.
 func (s *Scheduler) expectedHarm(now time.Time, prefill time.Duration) harm {
 	var expected harm
 
 	event := s.pace.EventTime(now)
+	chunked, isChunked := s.pace.ChunkedEventTime(now)
 
 	for request := range s.active {
 		if !request.isOnTime(now) {
@@ -169,6 +162,11 @@
 		}
 
 		expected.running += weight(request.Urgency)
+
+		if isChunked && chunked <= request.GapTarget {
+			continue
+		}
+
 		expected.always = expected.always || event+event/2+prefill > request.GapTarget
 
 		if s.expectedGap(now, request, event)+prefill > request.GapTarget {
