Refuse requests that wait at an agent when something of them is quarantined

Cause: entries check the quarantine before they send a request to an agent.

Ruled out: counting ends of parts apart by the time of sending, since a request that is retried during a power loss names popular parts.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -70,8 +70,8 @@
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
-	// waiters holds the channels that receive the decision on each waiting request; each has room for it.
-	waiters map[*schedule.Request]chan schedule.Action
+	// waiters holds the requests for which a decision is awaited.
+	waiters map[*schedule.Request]*waiter
 	// configVersion is the newest configuration version received from an entry.
 	configVersion int64
 	// operator and servers hold the latest confirmations that entries have published.
@@ -108,7 +108,7 @@
 // Run serves until the context ends, and then until no request is under way or has arrived for drainQuiet, or DrainTimeout has passed.
 func (a *Agent) Run(ctx context.Context) error {
 	a.wake, a.recheck = make(chan struct{}, 1), make(chan struct{}, 1)
-	a.waiters = map[*schedule.Request]chan schedule.Action{}
+	a.waiters = map[*schedule.Request]*waiter{}
 	a.watchers = map[*watcher]bool{}
 	a.Upstream.OnNotice = a.observeNotice
 	a.Upstream.OnLimit = a.observeLimit
@@ -307,9 +307,7 @@
 
 		a.countQueued(scheduled)
 
-		if waiter := a.waiters[scheduled]; waiter != nil {
-			waiter <- action
-		}
+		a.deliver(scheduled, action)
 	}
 }
 
--- a/internal/forward/agent/evidence.go
+++ b/internal/forward/agent/evidence.go
@@ -22,16 +22,22 @@
 // be complete. The request or one of its prompt parts may have ended the server, wherever the response stood. The next report tells whether
 // the server itself has ended.
 func (a *Agent) responseBroken(delivery *message.Delivery, sentAt time.Time) {
-	digest := quarantine.RequestDigest(delivery.Request, delivery.Account)
-	subjects := slices.Concat([]string{quarantine.RequestSubject(digest)}, delivery.SharedParts)
+	suspect := quarantine.Suspect{Request: delivery.ID, SentAt: sentAt, Subjects: requestSubjects(delivery)}
 
 	a.mu.Lock()
-	a.monitor.RecordBroken(time.Now(), quarantine.Suspect{Request: delivery.ID, SentAt: sentAt, Subjects: subjects})
+	a.monitor.RecordBroken(time.Now(), suspect)
 	a.mu.Unlock()
 
 	a.wakeControl()
 }
 
+// requestSubjects returns the request and its prompt parts as subjects of the quarantine.
+func requestSubjects(delivery *message.Delivery) []string {
+	digest := quarantine.RequestDigest(delivery.Request, delivery.Account)
+
+	return slices.Concat([]string{quarantine.RequestSubject(digest)}, delivery.SharedParts)
+}
+
 // RecordCrash implements relay.DRPCRelayServer.
 func (a *Agent) RecordCrash(_ context.Context, report *relay.CrashReport) (*relay.CrashReply, error) {
 	now := time.Now()
@@ -55,7 +61,11 @@
 
 	version := a.monitor.Version()
 	a.monitor.RecordSound(convert.SoundFromWire(now, settings.GetSound()))
-	a.monitor.RecordHolds(now, convert.HoldsFromWire(now, settings.GetHolds()))
+
+	if a.monitor.RecordHolds(now, convert.HoldsFromWire(now, settings.GetHolds())) {
+		a.refuseAllQuarantined()
+		a.dispatch()
+	}
 
 	// What is sound goes with the next message about the load.
 	if a.monitor.Version() != version {
--- a/internal/forward/agent/exchange.go
+++ b/internal/forward/agent/exchange.go
@@ -84,7 +84,7 @@
 	scheduled := scheduledRequest(delivery, arrived)
 	defer a.finish(scheduled)
 
-	refused, err := a.awaitDecision(ctx, scheduled)
+	refused, err := a.awaitDecision(ctx, delivery, scheduled)
 	if err != nil {
 		return err
 	}
@@ -149,31 +149,6 @@
 	}
 }
 
-// awaitDecision queues the request and waits for the scheduler's decision. It returns nil if the request may start, the
-// refusal if it may not, and an error if the entry disconnects first.
-func (a *Agent) awaitDecision(ctx context.Context, scheduled *schedule.Request) (*message.Refused, error) {
-	decided := make(chan schedule.Action, 1)
-
-	a.mu.Lock()
-	a.waiters[scheduled] = decided
-	a.scheduler.Add(scheduled)
-	a.dispatch()
-	a.notifyWatchers()
-	a.mu.Unlock()
-	a.wakeControl()
-
-	select {
-	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "entry disconnected")
-	case action := <-decided:
-		if refuse, ok := action.(schedule.Refuse); ok {
-			return &message.Refused{Err: refuse.Err}, nil
-		}
-	}
-
-	return nil, nil //nolint:nilnil // neither a refusal nor an error: the request may start
-}
-
 // observeOutput tells the scheduler that the model server has sent output of the request.
 func (a *Agent) observeOutput(scheduled *schedule.Request) {
 	a.mu.Lock()
--- a/internal/forward/entry/quarantine.go
+++ b/internal/forward/entry/quarantine.go
@@ -188,7 +188,7 @@
 		return nil
 	}
 
-	return quarantined(refusal)
+	return refusal.Fault()
 }
 
 // admit is check for a request that is sent at once. It may be the trial of a subject, and stays that if it is sent to another server.
@@ -204,7 +204,7 @@
 	q.mu.Unlock()
 
 	if refused {
-		return quarantined(refusal)
+		return refusal.Fault()
 	}
 
 	if trial != "" {
@@ -238,17 +238,3 @@
 
 	return int64(q.Tracker.Held())
 }
-
-func quarantined(refusal quarantine.Refusal) *fault.Error {
-	message := "requests with prompt part %s have ended model servers"
-
-	switch quarantine.KindOf(refusal.Subject) {
-	case quarantine.Request:
-		message = "%s has ended backend servers"
-	case quarantine.Adapter:
-		message = "the load of %s has ended model servers"
-	case quarantine.Part:
-	}
-
-	return fault.New(fault.Quarantined, message, refusal.Subject).WithRetryAfter(refusal.Left)
-}
--- a/internal/forward/entry/run.go
+++ b/internal/forward/entry/run.go
@@ -106,7 +106,8 @@
 
 	// The load of an adapter that is tried may have ended the server.
 	failedTrial := j.tried != "" && refused.Err.Kind == fault.AdapterUnavailable
-	again := ctx.Err() == nil && j.refusals < maxRefusals && j.remaining() > 0 && !failedTrial
+	held := refused.Err.Kind == fault.Quarantined
+	again := ctx.Err() == nil && j.refusals < maxRefusals && j.remaining() > 0 && !failedTrial && !held
 
 	if again && refused.ByBackend {
 		again = e.takeRetry(time.Now(), j.service.Name)
--- a/internal/forward/quarantine/admit.go
+++ b/internal/forward/quarantine/admit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 )
 
 // Refusal is the reason why a request is not sent.
@@ -13,6 +15,21 @@
 	Left time.Duration
 }
 
+// Fault returns the error for a request that is not sent; its kind is fault.Quarantined.
+func (r *Refusal) Fault() *fault.Error {
+	message := "requests with prompt part %s have ended model servers"
+
+	switch KindOf(r.Subject) {
+	case Request:
+		message = "%s has ended backend servers"
+	case Adapter:
+		message = "the load of %s has ended model servers"
+	case Part:
+	}
+
+	return fault.New(fault.Quarantined, message, r.Subject).WithRetryAfter(r.Left)
+}
+
 // Check returns the reason why a request with the subjects is not to be sent; false if it may be sent.
 func (t *Tracker) Check(now time.Time, subjects []string) (Refusal, bool) {
 	if len(t.holds) == 0 {
--- a/internal/forward/quarantine/monitor.go
+++ b/internal/forward/quarantine/monitor.go
@@ -179,6 +179,23 @@
 	return changed
 }
 
+// Check returns the reason why a request with the subjects that waits beside the server is not to be sent; false if it may be. It counts only
+// holds that began within settleTime: an entry that admits a request later knows of the hold, and the request may be its trial.
+func (m *Monitor) Check(now time.Time, subjects []string) (Refusal, bool) {
+	for _, id := range subjects {
+		if hold, ok := m.holds[id]; ok && !m.released(&hold) && now.Sub(hold.Since) <= settleTime {
+			return Refusal{Subject: id, Left: max(hold.Until.Sub(now), 0)}, true
+		}
+	}
+
+	return Refusal{}, false
+}
+
+// HasHolds reports whether any hold is known. Without one, no request needs a digest.
+func (m *Monitor) HasHolds() bool {
+	return len(m.holds) > 0
+}
+
 // recordHold records one hold and reports whether it is news. A later trial is not: only entries that start later need it.
 func (m *Monitor) recordHold(hold Hold) bool {
 	known, ok := m.holds[hold.Subject]
