Let usage counts fall when a server refuses a counted request

Cause: a plain request without an answer after 0.5 s counts, and is subtracted when its server refuses it. The merge took the highest count of each client account for a process, so that an agent which had missed the later message kept the refused request in the report.

Change: counts have a revision, which rises with each reading of an entry's counts. An agent keeps the latest revision of a window also if an earlier message arrives late, and the merge takes the tally with the highest revision of a process. UsageWindow and UsageTally carry it; 0 (previous version) means not known, and the highest counts are then taken as before. A request is now subtracted from the window in which it was counted, also if the true time was corrected meanwhile.

TestRefusedRequestLeavesTheSum gave 5 in place of 4 before, TestRefusedRequestLeavesItsWindow 2 in place of 1. TestCounterPlacesRequests expects the revision in addition; TestSum keeps its case as that of the previous version.

Ruled out: to count plain requests at their outcome only. Requests may run for longer than the 1.2 s until the counts are fixed.

--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -263,7 +263,7 @@
 
 	for _, own := range r.Counting.Windows() {
 		if own.Number == window {
-			tallies = append(tallies, usage.Tally{Process: r.Self.Process, Counts: own.Counts})
+			tallies = append(tallies, usage.Tally{Process: r.Self.Process, Revision: own.Revision, Counts: own.Counts})
 		}
 	}
 
--- a/internal/duty/usage/count.go
+++ b/internal/duty/usage/count.go
@@ -26,13 +26,18 @@
 // Window is the counts of one window.
 type Window struct {
 	Number int64
-	Counts Counts
+	// Revision rises with each reading of the counts of a process; 0 if it is not known. Counts may also fall: a server may refuse a plain request
+	// that was counted.
+	Revision int64
+	Counts   Counts
 }
 
 // Sent is a plain request that was sent. It counts unless the server refuses it.
 type Sent struct {
 	account string
 	at      time.Duration
+	// window is the window in which the request was counted, if counted is true.
+	window  int64
 	counted bool
 	decided bool
 }
@@ -57,6 +62,8 @@
 	// sent holds the plain requests that are not decided, in the order in which they were sent.
 	sent    []*Sent
 	windows map[int64]Counts
+	// revision is that of the last reading of the counts.
+	revision int64
 }
 
 // SetOffset sets the difference between the true time, since the start of 1970, and the local time, and counts the requests that began before
@@ -68,7 +75,7 @@
 	c.offset, c.hasOffset = offset, true
 
 	for _, request := range c.untimed {
-		c.add(request.account, request.at, 1)
+		c.add(request.account, request.at)
 	}
 
 	c.untimed = nil
@@ -79,7 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.add(account, now, 1)
+	c.add(account, now)
 }
 
 // Send records a plain request that is about to be sent.
@@ -102,9 +109,9 @@
 
 	switch {
 	case ran && !request.counted:
-		c.add(request.account, request.at, 1)
+		c.add(request.account, request.at)
 	case !ran && request.counted:
-		c.add(request.account, request.at, -1)
+		c.addTo(request.window, request.account, -1)
 	}
 
 	c.sent = slices.DeleteFunc(c.sent, func(other *Sent) bool { return other.decided })
@@ -124,9 +131,11 @@
 	oldest := Number(now+c.offset, c.Length) - min(max(int64(c.Due/c.Length)+2, minKept), maxReported) + 1
 	maps.DeleteFunc(c.windows, func(number int64, _ Counts) bool { return number < oldest })
 
+	c.revision++
+
 	windows := make([]Window, 0, len(c.windows))
 	for number, counts := range c.windows {
-		windows = append(windows, Window{Number: number, Counts: maps.Clone(counts)})
+		windows = append(windows, Window{Number: number, Revision: c.revision, Counts: maps.Clone(counts)})
 	}
 
 	slices.SortFunc(windows, func(a, b Window) int { return cmp.Compare(a.Number, b.Number) })
@@ -143,13 +152,14 @@
 
 		if !request.counted {
 			request.counted = true
-			c.add(request.account, request.at, 1)
+			request.window = Number(request.at+c.offset, c.Length)
+			c.addTo(request.window, request.account, 1)
 		}
 	}
 }
 
-// add adds to the count of a client account. The lock must be held.
-func (c *Counter) add(account string, at time.Duration, n int64) {
+// add counts a request of a client account that began at a local time. The lock must be held.
+func (c *Counter) add(account string, at time.Duration) {
 	if !c.hasOffset {
 		if len(c.untimed) < maxUntimed {
 			c.untimed = append(c.untimed, untimedRequest{account: account, at: at})
@@ -158,11 +168,15 @@
 		return
 	}
 
+	c.addTo(Number(at+c.offset, c.Length), account, 1)
+}
+
+// addTo adds to the count of a client account in a window. The lock must be held.
+func (c *Counter) addTo(number int64, account string, n int64) {
 	if c.windows == nil {
 		c.windows = map[int64]Counts{}
 	}
 
-	number := Number(at+c.offset, c.Length)
 	if c.windows[number] == nil {
 		c.windows[number] = Counts{}
 	}
--- a/internal/duty/usage/records.go
+++ b/internal/duty/usage/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,7 +21,9 @@
 // Tally is what one process has counted in a window.
 type Tally struct {
 	Process string
-	Counts  Counts
+	// Revision is that of the window; 0 if it is not known, as from processes of an earlier version.
+	Revision int64
+	Counts   Counts
 }
 
 // reported is what a process has reported.
@@ -59,13 +62,16 @@
 	}
 }
 
-// put replaces a window, and keeps the latest ones.
+// put replaces a window unless a later revision of it is known, and keeps the latest windows.
 func (r *reported) put(window Window) {
 	window.Counts = bounded(window.Counts)
 	at, known := slices.BinarySearchFunc(r.windows, window.Number, func(w Window, number int64) int { return cmp.Compare(w.Number, number) })
 
 	if known {
-		r.windows[at] = window
+		if window.Revision == 0 || window.Revision >= r.windows[at].Revision {
+			r.windows[at] = window
+		}
+
 		return
 	}
 
@@ -121,7 +127,7 @@
 	for process, found := range r.processes {
 		for _, window := range found.windows {
 			if window.Number == number {
-				tallies = append(tallies, Tally{Process: process, Counts: window.Counts})
+				tallies = append(tallies, Tally{Process: process, Revision: window.Revision, Counts: window.Counts})
 			}
 		}
 	}
@@ -129,30 +135,51 @@
 	return tallies
 }
 
-// Sum adds up what all processes have counted. Several agents may know the counts of one process; the highest of each client account is the
-// latest.
+// Sum adds up what all processes have counted, once for each process.
 func Sum(tallies []Tally) Counts {
-	byProcess := map[string]Counts{}
-
-	for _, tally := range tallies {
-		known := byProcess[tally.Process]
-		if known == nil {
-			known = Counts{}
-			byProcess[tally.Process] = known
-		}
+	total := Counts{}
 
+	for _, tally := range Latest(tallies) {
 		for account, n := range tally.Counts {
-			known[account] = max(known[account], n)
+			total[account] += n
 		}
 	}
 
-	total := Counts{}
+	return total
+}
 
-	for _, counts := range byProcess {
-		for account, n := range counts {
-			total[account] += n
+// Latest returns one tally for each process. Several agents may know the counts of one process: those of the highest revision count, also where
+// they are lower than others. Of counts without a revision, the highest of each client account are the latest.
+func Latest(tallies []Tally) []Tally {
+	var latest []Tally
+
+	position := map[string]int{}
+
+	for _, tally := range tallies {
+		at, known := position[tally.Process]
+
+		switch {
+		case !known:
+			position[tally.Process] = len(latest)
+			latest = append(latest, Tally{Process: tally.Process, Revision: tally.Revision, Counts: tally.Counts})
+		case tally.Revision > latest[at].Revision:
+			latest[at].Revision, latest[at].Counts = tally.Revision, tally.Counts
+		case tally.Revision == latest[at].Revision:
+			latest[at].Counts = highest(latest[at].Counts, tally.Counts)
 		}
 	}
 
-	return total
+	return latest
+}
+
+// highest returns the higher count of each client account.
+func highest(a, b Counts) Counts {
+	merged := make(Counts, max(len(a), len(b)))
+	maps.Copy(merged, a)
+
+	for account, n := range b {
+		merged[account] = max(merged[account], n)
+	}
+
+	return merged
 }
--- a/internal/duty/usage/usage_test.go
+++ b/internal/duty/usage/usage_test.go
@@ -29,11 +29,11 @@
 	c.Begin(7*time.Second, "acme")
 	c.Begin(7*time.Second, "birch")
 	assert.DeepEqual(t, c.Windows(8*time.Second), []usage.Window{
-		{Number: 1000, Counts: usage.Counts{"acme": 1}}, {Number: 1001, Counts: usage.Counts{"acme": 2, "birch": 1}},
+		{Number: 1000, Revision: 1, Counts: usage.Counts{"acme": 1}}, {Number: 1001, Revision: 1, Counts: usage.Counts{"acme": 2, "birch": 1}},
 	})
 
 	c.Begin(27*time.Second, "acme")
-	assert.DeepEqual(t, c.Windows(27*time.Second), []usage.Window{{Number: 1005, Counts: usage.Counts{"acme": 1}}})
+	assert.DeepEqual(t, c.Windows(27*time.Second), []usage.Window{{Number: 1005, Revision: 2, Counts: usage.Counts{"acme": 1}}})
 }
 
 // Guards against a plain request that counts although a server refused it, in the window in which it ended, or only once it has ended.
@@ -104,14 +104,38 @@
 	assert.Equal(t, len(records.Get(5)), 1, "processes that report no more are forgotten")
 }
 
-// Guards against counts of one process that add up, and against those of two processes that do not.
+// Guards against counts of one process that add up, against those of two processes that do not, and against earlier counts that prevail over later ones.
 func TestSum(t *testing.T) {
-	got := usage.Sum([]usage.Tally{
-		{Process: "a", Counts: usage.Counts{"acme": 3, "birch": 1}},
-		{Process: "a", Counts: usage.Counts{"acme": 5}},
-		{Process: "b", Counts: usage.Counts{"acme": 2}},
-	})
-	assert.DeepEqual(t, got, usage.Counts{"acme": 7, "birch": 1})
+	cases := map[string]struct {
+		tallies []usage.Tally
+		want    usage.Counts
+	}{
+		"previous version": {
+			tallies: []usage.Tally{
+				{Process: "a", Counts: usage.Counts{"acme": 3, "birch": 1}},
+				{Process: "a", Counts: usage.Counts{"acme": 5}},
+				{Process: "b", Counts: usage.Counts{"acme": 2}},
+			},
+			want: usage.Counts{"acme": 7, "birch": 1},
+		},
+		"later revision is lower": {
+			tallies: []usage.Tally{
+				{Process: "a", Revision: 2, Counts: usage.Counts{"acme": 4}},
+				{Process: "a", Revision: 3, Counts: usage.Counts{"acme": 3}},
+				{Process: "a", Revision: 1, Counts: usage.Counts{"acme": 5, "birch": 1}},
+				{Process: "b", Revision: 1, Counts: usage.Counts{"acme": 2}},
+			},
+			want: usage.Counts{"acme": 5},
+		},
+		"agent of the previous version drops the revision": {
+			tallies: []usage.Tally{{Process: "a", Counts: usage.Counts{"acme": 5}}, {Process: "a", Revision: 3, Counts: usage.Counts{"acme": 4}}},
+			want:    usage.Counts{"acme": 4},
+		},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, usage.Sum(c.tallies), c.want) })
+	}
 }
 
 // Guards against a true time that follows the clock of one VM.
@@ -187,3 +211,39 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, report.Counts["acme"], int64(4))
 }
+
+// Guards against a plain request that a server refuses after its count was sent, and that the report contains nevertheless: an agent that missed the
+// later message still has the higher count.
+func TestRefusedRequestLeavesTheSum(t *testing.T) {
+	counter := &usage.Counter{Length: length, Due: due}
+	counter.SetOffset(offset)
+	counter.Begin(time.Second, "acme")
+	sent := counter.Send(4*time.Second, "acme")
+
+	var agents [2]usage.Records
+
+	now := time.Now()
+	early := counter.Windows(5050 * time.Millisecond)
+	agents[0].Put(now, "a", early)
+	counter.Decide(sent, false)
+	agents[1].Put(now, "a", counter.Windows(5700*time.Millisecond))
+	agents[1].Put(now, "b", []usage.Window{{Number: 1000, Counts: usage.Counts{"acme": 3}}})
+	assert.DeepEqual(t, usage.Sum(append(agents[0].Get(1000), agents[1].Get(1000)...)), usage.Counts{"acme": 4})
+
+	// The earlier message arrives once more, late.
+	agents[1].Put(now, "a", early)
+	assert.DeepEqual(t, usage.Sum(agents[1].Get(1000)), usage.Counts{"acme": 4})
+}
+
+// Guards against a refused request that is taken out of another window than that in which it was counted, after the true time was corrected.
+func TestRefusedRequestLeavesItsWindow(t *testing.T) {
+	counter := &usage.Counter{Length: length, Due: due}
+	counter.SetOffset(offset)
+	counter.Begin(4*time.Second, "acme")
+	sent := counter.Send(4990*time.Millisecond, "acme")
+	assert.Equal(t, countOf(counter.Windows(5500*time.Millisecond)), int64(2))
+
+	counter.SetOffset(offset + 20*time.Millisecond)
+	counter.Decide(sent, false)
+	assert.Equal(t, countOf(counter.Windows(5500*time.Millisecond)), int64(1))
+}
--- a/internal/forward/convert/usage.go
+++ b/internal/forward/convert/usage.go
@@ -10,7 +10,7 @@
 	wire := make([]*relay.UsageWindow, 0, len(windows))
 
 	for _, window := range windows {
-		wire = append(wire, &relay.UsageWindow{Number: window.Number, Counts: countsToWire(window.Counts)})
+		wire = append(wire, &relay.UsageWindow{Number: window.Number, Revision: window.Revision, Counts: countsToWire(window.Counts)})
 	}
 
 	return wire
@@ -21,7 +21,7 @@
 	windows := make([]usage.Window, 0, len(wire))
 
 	for _, window := range wire {
-		windows = append(windows, usage.Window{Number: window.GetNumber(), Counts: countsFromWire(window.GetCounts())})
+		windows = append(windows, usage.Window{Number: window.GetNumber(), Revision: window.GetRevision(), Counts: countsFromWire(window.GetCounts())})
 	}
 
 	return windows
@@ -32,7 +32,7 @@
 	wire := make([]*relay.UsageTally, 0, len(tallies))
 
 	for _, tally := range tallies {
-		wire = append(wire, &relay.UsageTally{Process: tally.Process, Counts: countsToWire(tally.Counts)})
+		wire = append(wire, &relay.UsageTally{Process: tally.Process, Revision: tally.Revision, Counts: countsToWire(tally.Counts)})
 	}
 
 	return wire
@@ -43,7 +43,7 @@
 	tallies := make([]usage.Tally, 0, len(wire))
 
 	for _, tally := range wire {
-		tallies = append(tallies, usage.Tally{Process: tally.GetProcess(), Counts: countsFromWire(tally.GetCounts())})
+		tallies = append(tallies, usage.Tally{Process: tally.GetProcess(), Revision: tally.GetRevision(), Counts: countsFromWire(tally.GetCounts())})
 	}
 
 	return tallies
