Wait for the counts of agents that do not answer before a window is fixed

Cause: the holder fixed a window with whatever agents answered within 300 ms. The counts of an entry are at three agents; if these did not answer, the report lacked the entry, and fixed counts never change.

Change: a reading states whether it is complete, that is, fewer agents are missing than keep the counts of one entry. Listed agents that are not connected count as missing, vanished ones do not. Otherwise the holder asks again each second, merges the answers, renews the lease and sends earlier reports, and fixes what it knows 5.5 s before the report is due (write, read of its outcome and call), counted in duty_usage_partial.

TestWindowWaitsForTheCountsOfAgents gave 4 in place of 7 in two of five cases while each reading counted as complete, as before.

Ruled out: to wait until all agents have answered. One server that hangs would delay each report, and its counts are at two other agents.

--- a/internal/duty/holder/fake_test.go
+++ b/internal/duty/holder/fake_test.go
@@ -69,7 +69,9 @@
 	frozenUntil, cutUntil time.Time
 	dead, blind           bool
 	reader                bool
-	writes, polls, reads  int
+	// answers returns what agents answer about a window; nil for other counts at each read.
+	answers              func(window int64) (tallies []usage.Tally, complete bool)
+	writes, polls, reads int
 }
 
 // call is a call to the platform.
@@ -473,11 +475,17 @@
 }
 
 // Read implements holder.Tallies.
-func (t tallies) Read(context.Context, int64) []usage.Tally {
+func (t tallies) Read(_ context.Context, window int64) ([]usage.Tally, bool) {
 	s := t.process.site
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return []usage.Tally{{Process: "other", Counts: usage.Counts{"acme": 1 + s.random.Int64N(1_000_000)}}}
+	if t.process.answers != nil {
+		return t.process.answers(window)
+	}
+
+	complete := !s.faulty || s.random.IntN(100) < 70
+
+	return []usage.Tally{{Process: "other", Counts: usage.Counts{"acme": 1 + s.random.Int64N(1_000_000)}}}, complete
 }
--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -24,6 +24,10 @@
 	// reportRetry is the time before a report is sent again, and rateShare the part of the rate of calls that one duty may use.
 	reportRetry = 500 * time.Millisecond
 	rateShare   = 0.5
+	// readRetry is the time before agents are asked again for counts that are not complete, and fixReserve the time before a report is due from
+	// which it is fixed as it is: it allows for a write, a read of its outcome and the call.
+	readRetry  = time.Second
+	fixReserve = lease.WriteTimeout + storeTimeout + callTimeout
 	// roleCheckPeriod is the time between two checks whether this entry may hold the duty.
 	roleCheckPeriod = 500 * time.Millisecond
 	// fieldWindow is the name of a log field.
@@ -32,8 +36,8 @@
 
 // Tallies reads what other entries have counted.
 type Tallies interface {
-	// Read returns what processes have counted in a window, as far as the connected agents know.
-	Read(ctx context.Context, window int64) []usage.Tally
+	// Read returns what processes have counted in a window, as far as agents have answered, and whether these know the counts of all entries.
+	Read(ctx context.Context, window int64) (tallies []usage.Tally, complete bool)
 }
 
 // UsageReporter makes the usage reports while it holds their lease. Its exported fields are set before Run.
@@ -63,6 +67,10 @@
 	book    usage.Book
 	// startedAt is the local time of the start, and nextTry that of the next send of a report.
 	startedAt, nextTry time.Duration
+	// tallies holds what agents have answered about window readWindow, and readAt is the local time from which they are asked again.
+	tallies    []usage.Tally
+	readWindow int64
+	readAt     time.Duration
 }
 
 // Run holds the duty whenever it can until the context ends, and then releases the lease.
@@ -141,15 +149,16 @@
 
 	r.giveUp(now)
 
-	if lapsed || local >= r.subject.lease.RenewAt() || r.book.FixAt() <= now {
-		if !r.fix(ctx, now) {
+	untilFix := max(r.book.FixAt()-now, r.readAt-local)
+	if renew := lapsed || local >= r.subject.lease.RenewAt(); renew || untilFix <= 0 {
+		if !r.fix(ctx, now, renew) {
 			r.subject.pause(ctx, retryDelay)
 		}
 
 		return
 	}
 
-	left := min(r.book.FixAt()-now, r.subject.lease.RenewAt()-local)
+	left := min(untilFix, r.subject.lease.RenewAt()-local)
 	if report, ok := r.nextReport(now); ok {
 		if wait := r.nextTry - local; wait > 0 {
 			left = min(left, wait)
@@ -206,21 +215,30 @@
 	return lease.Report{}, false
 }
 
-// fix writes the counts of the windows that have ended into the row, which takes or renews the lease, and reports whether the row is known to
-// hold them.
-func (r *UsageReporter) fix(ctx context.Context, now time.Duration) bool {
-	windows := r.book.ToFix(now)
-	next := r.book.Content().NextWindow
-	reports := make([]lease.Report, 0, len(windows))
+// fix writes the counts of windows that have ended into the row, which also renews the lease, and reports whether the row is known to
+// hold them. It writes nothing if no counts are to be fixed yet and the lease need not be renewed.
+func (r *UsageReporter) fix(ctx context.Context, now time.Duration, renew bool) bool {
+	first := r.book.Content().NextWindow
+	next := first
+
+	var reports []lease.Report
+
+	for _, window := range r.book.ToFix(now) {
+		if !r.readCounts(ctx, now, window) {
+			break
+		}
 
-	for _, window := range windows {
 		next = window + 1
 
-		if report, ok := r.report(ctx, window); ok {
+		if report, ok := r.report(window); ok {
 			reports = append(reports, report)
 		}
 	}
 
+	if next == first && !renew {
+		return true
+	}
+
 	if !r.subject.write(ctx, r.book.WithFixed(reports, next)) {
 		return false
 	}
@@ -232,13 +250,43 @@
 	return true
 }
 
-// report returns the report of a window as it is to be fixed; false if the window has no requests and ended before this process started.
-func (r *UsageReporter) report(ctx context.Context, window int64) (lease.Report, bool) {
+// readCounts reads what other entries have counted in a window, and reports whether it is to be fixed: if the counts are complete, or the report
+// would be late otherwise.
+func (r *UsageReporter) readCounts(ctx context.Context, now time.Duration, window int64) bool {
+	if _, ok := r.book.Proposed(window); ok {
+		return true
+	}
+
+	if r.readWindow != window {
+		r.readWindow, r.tallies = window, nil
+	}
+
+	tallies, complete := r.Tallies.Read(ctx, window)
+	r.tallies = usage.Latest(append(r.tallies, tallies...))
+
+	if complete {
+		return true
+	}
+
+	if left := r.book.DueAt(window) - fixReserve - now; left > 0 {
+		r.readAt = r.Counting.Clock() + min(readRetry, left)
+		return false
+	}
+
+	metric.Count(r.Metrics, "duty.usage.partial")
+	r.Log.WithField(fieldWindow, window).Warn("usage window fixed without the counts of some agents")
+
+	return true
+}
+
+// report returns the report of a window as it is to be fixed, whose counts were read; false if the window has no requests and ended before this
+// process started.
+func (r *UsageReporter) report(window int64) (lease.Report, bool) {
 	if report, ok := r.book.Proposed(window); ok {
 		return report, true
 	}
 
-	report := lease.Report{Window: window, Counts: r.count(ctx, window)}
+	report := lease.Report{Window: window, Counts: r.count(window)}
 	if len(report.Counts) == 0 && usage.End(window, r.book.Length) <= r.Counting.True(r.startedAt) {
 		return lease.Report{}, false
 	}
@@ -257,9 +305,9 @@
 	return total
 }
 
-// count returns what all entries have counted in a window.
-func (r *UsageReporter) count(ctx context.Context, window int64) usage.Counts {
-	tallies := r.Tallies.Read(ctx, window)
+// count returns what all entries have counted in a window, as far as that was read.
+func (r *UsageReporter) count(window int64) usage.Counts {
+	tallies := r.tallies
 
 	for _, own := range r.Counting.Windows() {
 		if own.Number == window {
--- a/internal/duty/holder/usage_test.go
+++ b/internal/duty/holder/usage_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/duty/usage"
 )
 
 // windowsIn returns the numbers of the windows that end within a span.
@@ -230,3 +232,61 @@
 
 	return s.random.IntN(n)
 }
+
+// Guards against a window that is fixed without counts that only agents know which do not answer at first, against counts of agents that answered
+// early and are lost, and against a report that is late, or a lease that is lost, since some agents never answer.
+func TestWindowWaitsForTheCountsOfAgents(t *testing.T) {
+	cases := map[string]struct {
+		// answering is the time from the end of a window from which the second agent answers.
+		answering time.Duration
+		want      int64
+	}{
+		"at once":            {want: 7},
+		"after a while":      {answering: 3 * time.Second, want: 7},
+		"too late":           {answering: 9 * time.Second, want: 4},
+		"never":              {answering: time.Hour, want: 4},
+		"after one question": {answering: 1300 * time.Millisecond, want: 7},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(1)
+				defer s.stop()
+
+				first := time.Now()
+				p := s.start("a", true, true)
+				s.mu.Lock()
+				p.answers = func(window int64) ([]usage.Tally, bool) {
+					end := time.Unix(0, (window+1)*int64(windowLength))
+
+					// Once the second agent answers, the first one does no more, except where both answer from the start.
+					if time.Since(end) < c.answering {
+						return []usage.Tally{{Process: "x", Counts: usage.Counts{"acme": 4}}}, false
+					}
+
+					known := []usage.Tally{{Process: "y", Counts: usage.Counts{"acme": 3}}}
+					if c.answering == 0 {
+						known = append(known, usage.Tally{Process: "x", Counts: usage.Counts{"acme": 4}})
+					}
+
+					return known, true
+				}
+				s.mu.Unlock()
+
+				time.Sleep(time.Minute)
+
+				for _, window := range windowsIn(first, time.Now().Add(-due)) {
+					assert.Equal(t, s.reported(window), 1, "window %d", window)
+				}
+
+				for _, made := range s.calls {
+					assert.Equal(t, made.report.Counts["acme"], c.want, "%+v", made)
+					assert.Equal(t, made.fence, s.calls[0].fence)
+				}
+
+				assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+			})
+		})
+	}
+}
--- a/internal/duty/usage/records.go
+++ b/internal/duty/usage/records.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// Replicas is the number of agents that keep the counts of an entry.
+	Replicas = 3
 	// maxProcesses is the number of processes of entries whose counts an agent keeps, and processTTL how long it keeps those of a process that
 	// reports no more.
 	maxProcesses = 512
@@ -135,6 +137,11 @@
 	return tallies
 }
 
+// Complete reports whether the answers of some agents have the counts of all entries: fewer have not answered than keep the counts of one entry.
+func Complete(agents, answered int) bool {
+	return agents == 0 || agents-answered < min(Replicas, agents)
+}
+
 // Sum adds up what all processes have counted, once for each process.
 func Sum(tallies []Tally) Counts {
 	total := Counts{}
--- a/internal/duty/usage/usage_test.go
+++ b/internal/duty/usage/usage_test.go
@@ -247,3 +247,24 @@
 	counter.Decide(sent, false)
 	assert.Equal(t, countOf(counter.Windows(5500*time.Millisecond)), int64(1))
 }
+
+// Guards against counts that are taken for complete although only agents that have not answered may know those of an entry.
+func TestComplete(t *testing.T) {
+	cases := map[string]struct {
+		agents, answered int
+		want             bool
+	}{
+		"no agents":                  {want: true},
+		"the only one":               {agents: 1, answered: 1, want: true},
+		"the only one is missing":    {agents: 1},
+		"one of two":                 {agents: 2, answered: 1, want: true},
+		"none of two":                {agents: 2},
+		"none of three":              {agents: 3},
+		"two missing":                {agents: 9, answered: 7, want: true},
+		"as many as keep an entry's": {agents: 9, answered: 6},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, usage.Complete(c.agents, c.answered), c.want) })
+	}
+}
--- a/internal/forward/link/usage.go
+++ b/internal/forward/link/usage.go
@@ -10,12 +10,8 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
-const (
-	// usageReplicas is the number of agents that keep the counts of an entry.
-	usageReplicas = 3
-	// usageTimeout limits one call about counts.
-	usageTimeout = 300 * time.Millisecond
-)
+// usageTimeout limits one call about counts.
+const usageTimeout = 300 * time.Millisecond
 
 // receiveTime records the difference between the time of day of the agent's VM and the local time.
 func (l *Links) receiveTime(agent *link, state *relay.State) {
@@ -63,6 +59,22 @@
 	return connected > 0 && 2*connected >= len(l.links)
 }
 
+// keepers returns the number of agents that may keep counts of entries. Those of servers that have vanished from the list do if they are connected.
+func (l *Links) keepers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	count := 0
+
+	for _, found := range l.links {
+		if found.connected || !found.server.Vanished {
+			count++
+		}
+	}
+
+	return count
+}
+
 // UsageClient sends the counts of this entry for usage reports to agents, and reads those of other entries.
 type UsageClient struct {
 	Links *Links
@@ -74,8 +86,8 @@
 func (u *UsageClient) Record(ctx context.Context, windows []usage.Window) {
 	report := &relay.UsageReport{Entry: u.Entry, Process: u.Process, Windows: convert.UsageWindowsToWire(windows)}
 	addresses := u.Links.ranked(u.Entry)
-	done := make(chan struct{}, usageReplicas)
-	replicas := addresses[:min(len(addresses), usageReplicas)]
+	done := make(chan struct{}, usage.Replicas)
+	replicas := addresses[:min(len(addresses), usage.Replicas)]
 
 	for _, address := range replicas {
 		go func() {
@@ -97,8 +109,9 @@
 	_, _ = relay.NewDRPCRelayClient(u.Links.Pool.Get(address)).RecordUsage(bounded, report)
 }
 
-// Read returns what entries have counted in a window, as far as the connected agents know.
-func (u *UsageClient) Read(ctx context.Context, window int64) []usage.Tally {
+// Read returns what entries have counted in a window, as far as the connected agents know and answer, and whether these know the counts of all
+// entries.
+func (u *UsageClient) Read(ctx context.Context, window int64) (tallies []usage.Tally, complete bool) {
 	bounded, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
 
@@ -107,21 +120,31 @@
 
 	for _, address := range addresses {
 		go func() {
-			reply, _ := relay.NewDRPCRelayClient(u.Links.Pool.Get(address)).ReadUsage(bounded, &relay.UsageQuery{Number: window})
+			reply, err := relay.NewDRPCRelayClient(u.Links.Pool.Get(address)).ReadUsage(bounded, &relay.UsageQuery{Number: window})
+			if err != nil {
+				reply = nil
+			}
+
 			replies <- reply
 		}()
 	}
 
-	var tallies []usage.Tally
+	answered := 0
 
 	for range addresses {
 		select {
 		case <-bounded.Done():
-			return tallies
+			return tallies, usage.Complete(u.Links.keepers(), answered)
 		case reply := <-replies:
+			if reply == nil {
+				continue
+			}
+
+			answered++
+
 			tallies = append(tallies, convert.UsageTalliesFromWire(reply.GetTallies())...)
 		}
 	}
 
-	return tallies
+	return tallies, usage.Complete(u.Links.keepers(), answered)
 }
--- a/internal/forward/link/usage_test.go
+++ b/internal/forward/link/usage_test.go
@@ -1,12 +1,17 @@
 package link
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
+	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -44,3 +49,23 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, (&Links{links: c.links}).HasMostAgents(), c.want) })
 	}
 }
+
+// Guards against agents that are not connected and whose counts do not count as missing, and against servers that have gone for which a report waits.
+func TestAgentsThatMayKeepCounts(t *testing.T) {
+	l := &Links{links: map[string]*link{
+		"connected": {connected: true}, "lost": {},
+		"vanished": {server: fleet.Server{Vanished: true}}, "unlisted": {connected: true, server: fleet.Server{Vanished: true}},
+	}}
+
+	assert.Equal(t, l.keepers(), 3)
+}
+
+// Guards against a reading that is taken for complete although no agent answers.
+func TestReadWithoutAnswers(t *testing.T) {
+	pool := conn.New(func(context.Context, string) (net.Conn, error) { return nil, errors.New("no connection") })
+	client := &UsageClient{Entry: "vm-1", Links: &Links{Pool: pool, links: map[string]*link{"lost": {}, "refusing": {connected: true, address: "a:1"}}}}
+
+	tallies, complete := client.Read(t.Context(), 7)
+	assert.Equal(t, len(tallies), 0)
+	assert.Assert(t, !complete)
+}
