Share the rate of duty calls between the entries that order servers

Cause: the usage reporter and each entry that orders servers used half of dutyPerS each. With two readers that is 1.5 times the rate, in a fleet without agents half of it for each entry.

Change: an entry that orders servers uses the half of this duty divided by the number of entries that may order: the readers, or all entries if no agent is connected. The usage reports, which have one holder, keep their half.

Ruled out: a budget in the store. It would cost a write for each call.

--- a/internal/duty/holder/fake_test.go
+++ b/internal/duty/holder/fake_test.go
@@ -32,6 +32,12 @@
 	begun  time.Time
 	// faulty is true while calls fail at random.
 	faulty bool
+	// refusing is true while the platform refuses all calls, and attempts is the number of calls.
+	refusing bool
+	attempts int
+	// callRate is the number of calls per second that the platform takes, and candidates the number of entries that may order servers.
+	callRate   float64
+	candidates int
 
 	// key is that of the only row.
 	key          string
@@ -117,7 +123,7 @@
 	p.reporter = &holder.UsageReporter{
 		Store: p, Platform: p, Tallies: tallies{p}, Counting: counting, Self: p.self, IsCandidate: func() bool { return p.reader }, Due: due,
 		CanCount:  func() bool { return !p.isBlind() },
-		MinTenure: minTenure, FirstStart: firstStart, Log: log, Metrics: metrics.NewRegistry(),
+		MinTenure: minTenure, CallRate: s.callRate, FirstStart: firstStart, Log: log, Metrics: metrics.NewRegistry(),
 	}
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -156,6 +162,16 @@
 	return s.faulty && s.random.IntN(100) < percent
 }
 
+// refuses counts a call to the platform, and reports whether it refuses all.
+func (s *site) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.attempts++
+
+	return s.refusing
+}
+
 func (s *site) between(low, high time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -370,7 +386,7 @@
 		return err
 	}
 
-	if p.site.chance(20) {
+	if p.site.refuses() || p.site.chance(20) {
 		return &holder.RefusedError{Status: 429}
 	}
 
@@ -392,7 +408,7 @@
 		return err
 	}
 
-	if p.site.chance(50) {
+	if p.site.refuses() || p.site.chance(50) {
 		return &holder.RefusedError{Status: 429}
 	}
 
--- a/internal/duty/holder/scaler.go
+++ b/internal/duty/holder/scaler.go
@@ -30,8 +30,10 @@
 	IsCandidate func() bool
 	// MinTenure is the time within which holders must not act in the order A, B, A.
 	MinTenure time.Duration
-	// CallRate is the number of calls per second that the platform takes from all VMs together; 0 if it is not limited.
-	CallRate float64
+	// CallRate is the number of calls per second that the platform takes from all VMs together; 0 if it is not limited. Candidates returns how many
+	// entries may order servers at the same time; each uses an equal part of the rate of this duty.
+	CallRate   float64
+	Candidates func() int
 	// FirstStart is true if the whole system has just started for the first time.
 	FirstStart bool
 	Log        logrus.FieldLogger
@@ -141,7 +143,7 @@
 	log := s.Log.WithFields(logrus.Fields{fieldDuty: duty.key, fieldFence: fence, "servers": order.Servers})
 
 	err := s.Platform.Scale(bounded, Token{VM: s.Self.VM, Fence: fence}, order)
-	s.nextCall = s.Clock() + retryAfter(s.CallRate)
+	s.nextCall = s.Clock() + retryAfter(s.CallRate/float64(max(s.Candidates(), 1)))
 	scaled.nextTry = s.nextCall
 
 	if err != nil {
--- a/internal/duty/holder/scaler_test.go
+++ b/internal/duty/holder/scaler_test.go
@@ -28,9 +28,10 @@
 	boot := time.Now().Add(-time.Hour)
 
 	scaler := &holder.Scaler{
-		Store: p, Platform: p, Self: p.self, MinTenure: minTenure, FirstStart: true, Log: log, Metrics: metrics.NewRegistry(),
+		Store: p, Platform: p, Self: p.self, MinTenure: minTenure, CallRate: s.callRate, FirstStart: true, Log: log, Metrics: metrics.NewRegistry(),
 		Clock:       func() time.Duration { return time.Since(boot) },
 		IsCandidate: func() bool { return p.reader },
+		Candidates:  func() int { return s.candidates },
 		Loads: func() []scale.Load {
 			return []scale.Load{{
 				Subject: scale.Subject{Service: "chat", Domain: "d1"}, Bounds: scale.Bounds{Min: 2, Max: 8, Boot: 20 * time.Second},
@@ -151,3 +152,60 @@
 		})
 	}
 }
+
+// Guards against entries that each use the rate of calls which the platform takes from all of them together, so that reports are refused.
+func TestEntriesShareTheRateOfCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			rate    = 0.5
+			entries = 4
+			span    = 10 * time.Minute
+		)
+
+		var running atomic.Int64
+
+		running.Store(25)
+
+		// Each subject has a store of its own: the fake one has a single row.
+		reporting := newSite(1)
+		reporting.refusing, reporting.callRate = true, rate
+		reporting.start("a", true, true)
+
+		defer reporting.stop()
+
+		ordering := make([]*site, entries)
+		for i := range ordering {
+			ordering[i] = newSite(uint64(i))
+			ordering[i].key, ordering[i].refusing = "scale/chat/d1", true
+			ordering[i].callRate, ordering[i].candidates = rate, entries
+			ordering[i].startScaler(fmt.Sprint("vm-", i), &running)
+
+			defer ordering[i].stop()
+		}
+
+		time.Sleep(10 * time.Second)
+		running.Store(50)
+
+		begun, before := time.Now(), reporting.attemptsSoFar()
+		time.Sleep(span)
+
+		reports := reporting.attemptsSoFar() - before
+		calls := reports
+
+		for _, s := range ordering {
+			assert.Assert(t, s.attemptsSoFar() > 0, "an entry orders nothing")
+			calls += s.attemptsSoFar()
+		}
+
+		allowed := rate*time.Since(begun).Seconds() + entries + 1
+		assert.Assert(t, float64(calls) <= allowed, "%d calls, %g allowed", calls, allowed)
+		assert.Assert(t, reports >= int(span/windowLength), "%d calls for %d reports", reports, span/windowLength)
+	})
+}
+
+func (s *site) attemptsSoFar() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.attempts
+}
--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -21,7 +21,8 @@
 	callTimeout = 2 * time.Second
 	minCallTime = 200 * time.Millisecond
 	callMargin  = 200 * time.Millisecond
-	// reportRetry is the time before a report is sent again, and rateShare the part of the rate of calls that one duty may use.
+	// reportRetry is the time before a report is sent again, and rateShare the part of the rate of calls that one duty may use at all its holders
+	// together. The scaling orders of all subjects are one duty.
 	reportRetry = 500 * time.Millisecond
 	rateShare   = 0.5
 	// readRetry is the time before agents are asked again for counts that are not complete, and fixReserve the time before a report is due from
--- a/internal/forward/progress/readers.go
+++ b/internal/forward/progress/readers.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxReaders is the number of readers among many entries; below entriesPerReader entries there is one.
-	maxReaders       = 2
+	// MaxReaders is the number of readers among many entries; below entriesPerReader entries there is one.
+	MaxReaders       = 2
 	entriesPerReader = 20
 	// readerMaxAge is the age of an entry's own confirmation above which others are preferred as readers: the store may be out
 	// of its reach.
@@ -46,7 +46,7 @@
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 
-	count := min(len(sorted), maxReaders, 1+len(sorted)/entriesPerReader)
+	count := min(len(sorted), MaxReaders, 1+len(sorted)/entriesPerReader)
 	names := make([]string, count)
 
 	for i := range names {
--- a/internal/program/hosted/duties.go
+++ b/internal/program/hosted/duties.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/entry"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/freshness"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
 	"github.com/chestnutbeam/chestnutbeam/platform"
 )
 
@@ -47,12 +48,26 @@
 		d.scaler = &holder.Scaler{
 			Store: rows, Platform: cloud, Loads: server.ServiceLoads, Clock: freshness.Clock, Self: self, IsCandidate: server.Links.IsReader,
 			MinTenure: p.settings.Bounds.MinTenure, CallRate: p.settings.Cloud.CallRate, FirstStart: p.settings.FirstStart, Log: p.log, Metrics: p.metrics,
+			Candidates: func() int { return scalers(server.Links.KnownEntries(), server.Links.ConnectedCount()) },
 		}
 	}
 
 	return d
 }
 
+// scalers returns how many entries may order servers at the same time: the readers, or all entries if no agent is connected to choose these.
+func scalers(entries, agents int) int {
+	if agents == 0 {
+		return max(entries, 1)
+	}
+
+	if entries == 0 {
+		return progress.MaxReaders
+	}
+
+	return min(entries, progress.MaxReaders)
+}
+
 // addReporter adds the duty of the usage reports.
 func (p *process) addReporter(d *duties, server *entry.Entry, self lease.Holder, rows *platform.DutyStore, cloud *platform.Cloud) {
 	settings := p.settings
