Order for the subject first that was not tried for longest

Cause: an entry looked at subjects in the order of their names and made one call at a time. While the platform refused the order of the first one, each pass began with it again, and the time until the next call had passed for it only.

Change: the subjects are visited in the order of their next attempts.

--- a/internal/duty/holder/scaler.go
+++ b/internal/duty/holder/scaler.go
@@ -1,7 +1,9 @@
 package holder
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -57,7 +59,7 @@
 	s.scalings = map[scale.Subject]*scaling{}
 
 	for ctx.Err() == nil {
-		for _, load := range s.Loads() {
+		for _, load := range s.byLastTry(s.Loads()) {
 			s.step(ctx, load)
 		}
 
@@ -72,6 +74,16 @@
 	}
 }
 
+// byLastTry returns the loads in the order of the last attempts to order for them. One whose order is refused again and again would use the whole rate
+// of calls otherwise.
+func (s *Scaler) byLastTry(loads []scale.Load) []scale.Load {
+	slices.SortStableFunc(loads, func(a, b scale.Load) int {
+		return cmp.Compare(s.scaling(a.Subject).nextTry, s.scaling(b.Subject).nextTry)
+	})
+
+	return loads
+}
+
 // step orders servers of one subject if another number is wanted.
 func (s *Scaler) step(ctx context.Context, load scale.Load) {
 	scaled := s.scaling(load.Subject)
--- a/internal/duty/holder/scaler_test.go
+++ b/internal/duty/holder/scaler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -209,3 +210,87 @@
 
 	return s.attempts
 }
+
+// rowStore is a store with rows of several subjects and without faults.
+type rowStore struct {
+	begun   time.Time
+	version int64
+	rows    map[string]holder.Row
+}
+
+// Read implements holder.Store.
+func (r *rowStore) Read(context.Context) (holder.Page, error) {
+	return holder.Page{Version: r.version, Clock: time.Since(r.begun), Rows: maps.Clone(r.rows)}, nil
+}
+
+// Changes implements holder.Store.
+func (r *rowStore) Changes(ctx context.Context, _ int64, _ time.Duration) (holder.Page, error) {
+	return r.Read(ctx)
+}
+
+// Write implements holder.Store.
+func (r *rowStore) Write(ctx context.Context, subject string, write lease.Write) (holder.Page, error) {
+	if r.rows[subject].Version != write.Expected {
+		return holder.Page{}, errFault
+	}
+
+	r.version++
+	r.rows[subject] = holder.Row{Version: r.version, Row: &write.Row}
+
+	return r.Read(ctx)
+}
+
+// refusingPlatform refuses all calls, and counts orders by failure domain.
+type refusingPlatform struct {
+	orders map[string]int
+}
+
+// Report implements holder.Platform.
+func (r *refusingPlatform) Report(context.Context, holder.Token, lease.Report) error {
+	return &holder.RefusedError{Status: 429}
+}
+
+// Scale implements holder.Platform.
+func (r *refusingPlatform) Scale(_ context.Context, _ holder.Token, order holder.ScaleOrder) error {
+	r.orders[order.Domain]++
+
+	return &holder.RefusedError{Status: 429}
+}
+
+// Guards against a subject whose order is never sent since the platform refuses that of another subject again and again.
+func TestRefusedOrderDoesNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+
+		begun := time.Now()
+		platform := &refusingPlatform{orders: map[string]int{}}
+		scaler := &holder.Scaler{
+			Store: &rowStore{begun: begun, rows: map[string]holder.Row{}}, Platform: platform, Self: lease.Holder{VM: "a", Process: "p"},
+			MinTenure: minTenure, FirstStart: true, Log: log, Metrics: metrics.NewRegistry(),
+			Clock:       func() time.Duration { return time.Since(begun) + time.Hour },
+			IsCandidate: func() bool { return true },
+			Candidates:  func() int { return 1 },
+			Loads: func() []scale.Load {
+				loads := make([]scale.Load, 3)
+				for i, domain := range []string{"d1", "d2", "d3"} {
+					loads[i] = scale.Load{
+						Subject: scale.Subject{Service: "chat", Domain: domain}, Bounds: scale.Bounds{Min: 2, Max: 8, Boot: 20 * time.Second},
+						Servers: 4, Slots: 10, Running: 50, Known: true,
+					}
+				}
+
+				return loads
+			},
+		}
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+
+		scaler.Run(ctx)
+
+		for _, domain := range []string{"d1", "d2", "d3"} {
+			assert.Assert(t, platform.orders[domain] >= 10, "%v", platform.orders)
+		}
+	})
+}
