Bound the prefill time of a token from below

Cause: at a server with moments of slowness whose prompts are all small, the fitted line may have no slope: the whole time then counts as overhead of a request, and a prompt of any size seems to be prefilled in 50 ms. It is started before streams that it makes late.

Change: a token takes at least 10 us, a fifth of the default.

Measured: TestSmallPromptsOfVaryingPace fails without the bound (a prompt of 40,000 tokens is expected in under 0.4 s) and passes with it.

--- a/internal/forward/pace/pace.go
+++ b/internal/forward/pace/pace.go
@@ -29,7 +29,9 @@
 	defaultOverhead = 12 * time.Millisecond
 	maxOverhead     = 100 * time.Millisecond
 	// defaultTokenTime is the prefill time of one prompt token, and defaultEventTime the time between two events, as long as nothing is known.
+	// minTokenTime is below what it takes at any server: small prompts whose pace varies do not determine it, and the fit may be 0.
 	defaultTokenTime = 50 * time.Microsecond
+	minTokenTime     = defaultTokenTime / 5
 	defaultEventTime = 50 * time.Millisecond
 )
 
@@ -70,7 +72,7 @@
 	e.prefills.observe(float64(tokens), float64(e.normalize(now, took)))
 
 	overhead, perToken := e.prefills.fit(float64(defaultOverhead), float64(maxOverhead))
-	e.overhead, e.tokenTime = time.Duration(overhead), max(time.Duration(perToken), 1)
+	e.overhead, e.tokenTime = time.Duration(overhead), max(time.Duration(perToken), minTokenTime)
 }
 
 // ObserveEvent records the time between two events of a stream in which the server prefilled no prompt.
--- a/internal/forward/pace/pace_test.go
+++ b/internal/forward/pace/pace_test.go
@@ -140,3 +140,20 @@
 	got := e.Prefill(at).Stall(5800)
 	assert.Assert(t, got > want*95/100 && got < want*105/100, "%s, want about %s", got, want)
 }
+
+// Guards against a large prompt that seems to take no time, so that it is started before streams that it makes late: small prompts whose times
+// vary with the pace of the server tell nothing about the time of a token.
+func TestSmallPromptsOfVaryingPace(t *testing.T) {
+	var e pace.Estimator
+
+	at := start
+
+	for range 50 {
+		at = at.Add(time.Second)
+		e.ObservePrefill(at, 250, 60*time.Millisecond)
+		e.ObservePrefill(at, 700, 30*time.Millisecond)
+	}
+
+	got := e.PrefillTime(at, 40_000)
+	assert.Assert(t, got >= 400*time.Millisecond, "%s", got)
+}
