Choose servers in the simulation as the entries do, and serve requests without a target

Cause: the simulation's entries chose servers by the whole backlog, without the stated slowness, without the longest pause of the kind and without the longest wait. A route without a target for the first event or without a longest pause sent 0 to the agent, which means that the target has passed. The plan of a queue ordered requests by a due time after their expiry, so that they expired behind others.

Change: the simulation holds link.State and uses State.Ahead, SlownessNow and place.ChooseWithin. Without a target, the time to the deadline is sent. The plan takes the expiry as due time if it comes first.

Ruled out: an index of -1 in dropLessUrgent. The work by rank is changed only together with the set, so that the sum of the set's jobs of a higher rank is what lessUrgentWork returns.

--- a/internal/forward/entry/job.go
+++ b/internal/forward/entry/job.go
@@ -160,13 +160,19 @@
 }
 
 // targetLeft returns what is left of the time in which the next event is on time; 0 if that time has passed. The target for the first event
-// counts from the arrival of the request, and that for a later one from the event before it.
+// counts from the arrival of the request, and that for a later one from the event before it. Without a target, it is the time to the deadline:
+// agents take 0 for a target that has passed.
 func (j *job) targetLeft() time.Duration {
+	target, since := j.route.Objective, j.request.Arrived
 	if !j.lastPiece.IsZero() {
-		return max(j.route.GapTarget-time.Since(j.lastPiece), 0)
+		target, since = j.route.GapTarget, j.lastPiece
 	}
 
-	return max(j.route.Objective-time.Since(j.request.Arrived), 0)
+	if target <= 0 {
+		return max(j.remaining(), 0)
+	}
+
+	return max(target-time.Since(since), 0)
 }
 
 // delivery returns the request for one backend server and the minimum version of its adapter. After the response has started, it resumes
--- a/internal/forward/entry/job_test.go
+++ b/internal/forward/entry/job_test.go
@@ -46,3 +46,31 @@
 		})
 	}
 }
+
+// Guards against a request of a route without a target that an agent takes for one whose target has passed: it would go behind all others, and
+// its stream would count as late, so that prompts may hold it up.
+func TestRequestWithoutTargetIsNotLate(t *testing.T) {
+	cases := map[string]struct {
+		route catalog.Route
+		begun bool
+	}{
+		"no target for the first event": {route: catalog.Route{Stream: true, GapTarget: 300 * time.Millisecond}},
+		"no longest pause":              {route: catalog.Route{Stream: true, Objective: 800 * time.Millisecond}, begun: true},
+		"neither":                       {route: catalog.Route{Stream: true}},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				j := &job{request: &message.Request{ID: "r", Arrived: time.Now()}, route: c.route, deadline: time.Now().Add(10 * time.Second)}
+				time.Sleep(time.Second)
+
+				if c.begun {
+					j.lastPiece = time.Now()
+				}
+
+				assert.Equal(t, j.delivery(fleet.Server{}, 0).Objective, 9*time.Second)
+			})
+		})
+	}
+}
--- a/internal/forward/triage/queue.go
+++ b/internal/forward/triage/queue.go
@@ -154,8 +154,10 @@
 
 func newJob(now time.Time, busy Busy, c *Candidate) job {
 	urgency := urgencyClass(c.Work.Urgency)
-	due := c.Work.Due.Sub(now)
-	added := job{work: c.Prefill, ready: c.Ready, cost: cost(c), expires: c.Work.Expires.Sub(now)}
+	expires := c.Work.Expires.Sub(now)
+	// A request without a target is due only at its deadline, after which it can't start any more.
+	due := min(c.Work.Due.Sub(now), expires)
+	added := job{work: c.Prefill, ready: c.Ready, cost: cost(c), expires: expires}
 
 	reserve := time.Duration(0)
 	if c.Displaced {
--- a/internal/forward/triage/queue_test.go
+++ b/internal/forward/triage/queue_test.go
@@ -119,6 +119,19 @@
 			candidates: []triage.Candidate{candidate(1, 100*ms, -ms, 200*ms), candidate(1, 100*ms, -ms, 3*time.Second)},
 			want:       "l1 h0",
 		},
+		"expires before it is due": {
+			candidates: []triage.Candidate{candidate(1, 100*ms, 800*ms, 50*ms), candidate(1, 100*ms, 300*ms, 3*time.Second)},
+			want:       "o0 o1",
+		},
+		"no target, among its equals": {
+			candidates: []triage.Candidate{candidate(1, 100*ms, time.Hour, 3*time.Second), candidate(1, 100*ms, 300*ms, 3*time.Second)},
+			want:       "o1 o0",
+		},
+		"no target, and too little time": {
+			busy:       300 * ms,
+			candidates: []triage.Candidate{candidate(1, 100*ms, time.Hour, 200*ms), candidate(1, 100*ms, 800*ms, 3*time.Second)},
+			want:       "o1 h0",
+		},
 		"service is owed": {
 			candidates: []triage.Candidate{candidate(0, 100*ms, 120*ms, 3*time.Second), change(candidate(5, 100*ms, -ms, 3*time.Second), func(c *triage.Candidate) { c.Underserved = true })},
 			want:       "l1 d0",
@@ -247,6 +260,32 @@
 	})
 }
 
+// Guards against a plan that takes a request from the set which is not in it: the work by rank and the set are kept apart, and a difference between
+// them would cause a panic of the agent. Sizes and times are out of any order on purpose.
+func TestPlanWithAnyWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var queue triage.Queue
+
+		values := rapid.Int64Range(-int64(time.Hour), int64(time.Hour))
+		if rapid.Bool().Draw(t, "extreme") {
+			values = rapid.Int64()
+		}
+
+		for range 2 {
+			candidates := make([]triage.Candidate, rapid.IntRange(1, 30).Draw(t, "count"))
+
+			for i := range candidates {
+				candidates[i] = candidate(rapid.IntRange(-2, 12).Draw(t, "urgency"), time.Duration(values.Draw(t, "prefill")), time.Duration(values.Draw(t, "due")), time.Duration(values.Draw(t, "expires")))
+				candidates[i].Ready = time.Duration(values.Draw(t, "ready"))
+				candidates[i].Displaced, candidates[i].Underserved, candidates[i].Work.Resumed = rapid.Bool().Draw(t, "displaced"), rapid.Bool().Draw(t, "owed"), rapid.Bool().Draw(t, "resumed")
+			}
+
+			busy := triage.Busy{Present: time.Duration(values.Draw(t, "present")), Usual: time.Duration(values.Draw(t, "usual"))}
+			assert.Equal(t, len(queue.Plan(start, busy, candidates)), len(candidates))
+		}
+	})
+}
+
 // Guards against requests that overtake each other with each plan while nothing but the time changes.
 func TestOrderIsStable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/measure/play/entry.go
+++ b/internal/measure/play/entry.go
@@ -1,24 +1,20 @@
 package play
 
 import (
+	"time"
+
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/place"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/refuse"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 )
 
-// entry is an entry VM. It counts what it has sent to each server since the last state of that server.
+// entry is an entry VM. It holds the last state of each server that it received, to which it adds what it has sent there since.
 type entry struct {
 	simulation *simulation
 	domain     string
-	sent       map[*server]sentCount
-	// states holds the last state of each server that the entry received.
-	states map[*server]schedule.State
-}
-
-type sentCount struct {
-	requests int
-	tokens   int64
+	states     map[*server]*link.State
 }
 
 // send chooses a server and sends the request to it, or refuses the request.
@@ -36,30 +32,33 @@
 		}
 
 		servers = append(servers, s)
-		candidates = append(candidates, e.candidate(s, c.adapter))
+		candidates = append(candidates, e.candidate(s, c))
 	}
 
 	query := place.Query{
-		Adapter: modelName + "/" + c.adapter.Name, Domain: e.domain, PromptTokens: c.promptTokens, MaxGap: sim.workload.GapTarget,
+		Adapter: modelName + "/" + c.adapter.Name, Domain: e.domain, PromptTokens: c.promptTokens, MaxGap: c.kind.GapTarget,
 		Entries: len(sim.entries),
 	}
-	index, wait := sim.policy.choose(sim.rng, query, candidates)
+	maxWait := c.maxWait(sim.clock.now)
+	index, wait := sim.policy.choose(sim.rng, query, candidates, maxWait)
 	refused := refuse.CheckModelRequest(refuse.Candidate{
-		ID: c.id(), Found: index >= 0, ExpectedWait: wait, MaxWait: c.maxWait(sim.clock.now), Objective: c.kind.Objective,
+		ID: c.id(), Found: index >= 0, ExpectedWait: wait, MaxWait: maxWait, Objective: c.kind.Objective,
 	})
 	if refused != nil {
 		e.refuse(c, refused)
 		return
 	}
 
-	count := e.sent[servers[index]]
-	count.requests++
-	count.tokens += c.promptTokens
-	e.sent[servers[index]] = count
-
+	e.recordSent(servers[index], c)
 	servers[index].add(c, c.schedulerRequest(sim.clock.now))
 }
 
+func (e *entry) recordSent(s *server, c *clientRequest) {
+	state := e.states[s]
+	state.Sent++
+	state.SentTokens[min(c.kind.Urgency, len(state.SentTokens)-1)] += c.promptTokens
+}
+
 // refuse makes the client retry after the delay of the error. A request that was retried already ends as refused.
 func (e *entry) refuse(c *clientRequest, err *fault.Error) {
 	if c.retried {
@@ -76,28 +75,58 @@
 	})
 }
 
-func (e *entry) candidate(s *server, adapter schedule.Adapter) place.ModelServer {
-	state, own := e.states[s], e.sent[s]
+// candidate describes a server as the entries of the programs do in internal/forward/entry.
+func (e *entry) candidate(s *server, c *clientRequest) place.ModelServer {
+	state := e.states[s]
+	reported, sent := state.Ahead(c.kind.Urgency)
 
 	candidate := place.ModelServer{
 		ID:               s.id,
 		Domain:           s.domain,
-		Backlog:          state.Backlog,
-		Sent:             own.tokens,
+		Backlog:          reported,
+		Sent:             sent,
 		Rate:             state.Rate,
-		Running:          state.Running + own.requests,
+		Slowness:         state.SlownessNow(e.simulation.clock.now),
+		Running:          state.Running + state.Sent,
 		Fetches:          state.Fetches,
 		IdleAdapterSlots: state.IdleAdapterSlots,
 	}
 
-	for _, held := range state.Adapters {
-		if held.Adapter == adapter {
-			candidate.Residency = place.Present
-			if held.Loading {
-				candidate.Residency = place.Loading
-			}
-		}
+	name := link.Adapter{Model: c.adapter.Model, Name: c.adapter.Name}
+	if _, loaded := state.Loaded[name]; loaded {
+		candidate.Residency = place.Present
+	} else if state.Loading[name] {
+		candidate.Residency = place.Loading
 	}
 
 	return candidate
 }
+
+// receivedState returns the state of a server as entries receive it.
+func receivedState(now time.Time, from *schedule.State) link.State {
+	state := link.State{
+		Running:          from.Running,
+		Backlog:          from.Backlog,
+		Waiting:          from.QueuedTokens[:],
+		Prefilling:       from.PrefillTokens,
+		Rate:             from.Rate,
+		Slowness:         from.Slowness,
+		SlownessAt:       now.Add(-from.SlownessAge),
+		Fetches:          from.Fetches,
+		IdleAdapterSlots: from.IdleAdapterSlots,
+		Loaded:           map[link.Adapter]int64{},
+		Loading:          map[link.Adapter]bool{},
+	}
+
+	for _, held := range from.Adapters {
+		name := link.Adapter{Model: held.Adapter.Model, Name: held.Adapter.Name}
+
+		if held.Loading {
+			state.Loading[name] = true
+		} else {
+			state.Loaded[name] = held.Version
+		}
+	}
+
+	return state
+}
--- a/internal/measure/play/policy.go
+++ b/internal/measure/play/policy.go
@@ -11,8 +11,8 @@
 
 // policy selects servers for requests and schedules the requests at a server.
 type policy struct {
-	// choose returns the index of a server and the expected wait there; -1 if there are no candidates.
-	choose   func(rng *rand.Rand, query place.Query, servers []place.ModelServer) (int, time.Duration)
+	// choose returns the index of a server and the expected wait there; -1 if there are no candidates. The request may wait for maxWait.
+	choose   func(rng *rand.Rand, query place.Query, servers []place.ModelServer, maxWait time.Duration) (int, time.Duration)
 	schedule schedule.Policy
 }
 
@@ -30,12 +30,12 @@
 	"random":        {choose: randomServer, schedule: schedule.DefaultPolicy},
 }
 
-func defaultChoice(_ *rand.Rand, query place.Query, servers []place.ModelServer) (int, time.Duration) {
-	return place.Choose(query, servers)
+func defaultChoice(_ *rand.Rand, query place.Query, servers []place.ModelServer, maxWait time.Duration) (int, time.Duration) {
+	return place.ChooseWithin(query, servers, maxWait)
 }
 
 // leastLoaded chooses the server with the fewest prompt tokens to prefill, regardless of the adapters that it holds.
-func leastLoaded(_ *rand.Rand, _ place.Query, servers []place.ModelServer) (int, time.Duration) {
+func leastLoaded(_ *rand.Rand, _ place.Query, servers []place.ModelServer, _ time.Duration) (int, time.Duration) {
 	best := -1
 
 	for i := range servers {
@@ -48,7 +48,7 @@
 }
 
 // preferredOnly chooses the preferred server of the adapter, the first in its rendezvous ranking, regardless of its load.
-func preferredOnly(_ *rand.Rand, query place.Query, servers []place.ModelServer) (int, time.Duration) {
+func preferredOnly(_ *rand.Rand, query place.Query, servers []place.ModelServer, _ time.Duration) (int, time.Duration) {
 	idle := slices.Clone(servers)
 
 	for i := range idle {
@@ -58,7 +58,7 @@
 	return place.Choose(place.Query{Adapter: query.Adapter}, idle)
 }
 
-func randomServer(rng *rand.Rand, _ place.Query, servers []place.ModelServer) (int, time.Duration) {
+func randomServer(rng *rand.Rand, _ place.Query, servers []place.ModelServer, _ time.Duration) (int, time.Duration) {
 	if len(servers) == 0 {
 		return -1, 0
 	}
--- a/internal/measure/play/simulation.go
+++ b/internal/measure/play/simulation.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/link"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/schedule"
 )
 
@@ -82,9 +83,12 @@
 	}
 
 	for i := range fleet.Entries {
-		sim.entries = append(sim.entries, &entry{
-			simulation: sim, domain: domain(i, fleet), sent: map[*server]sentCount{}, states: map[*server]schedule.State{},
-		})
+		e := &entry{simulation: sim, domain: domain(i, fleet), states: map[*server]*link.State{}}
+		for _, s := range sim.servers {
+			e.states[s] = &link.State{}
+		}
+
+		sim.entries = append(sim.entries, e)
 	}
 }
 
@@ -212,8 +216,8 @@
 		state := s.scheduler.State(sim.clock.now)
 
 		for i := phase; i < len(sim.entries); i += phases {
-			sim.entries[i].states[s] = state
-			delete(sim.entries[i].sent, s)
+			received := receivedState(sim.clock.now, &state)
+			sim.entries[i].states[s] = &received
 		}
 	}
 
