--- a/internal/forward/entry/handover_test.go
+++ b/internal/forward/entry/handover_test.go
@@ -53,6 +53,36 @@
 	}
 }
 
+// assertNotTakenOver waits until a handover, whose exchange has ended, has ended as well, and checks that the job has none, has run the given
+// number of times, and does not ask the server "b" again.
+func assertNotTakenOver(t *testing.T, watch *silenceWatch, j *job, runs int) {
+	t.Helper()
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		watch.mu.Lock()
+		defer watch.mu.Unlock()
+
+		if watch.asked == nil {
+			return poll.Success()
+		}
+
+		return poll.Continue("the handover is under way")
+	})
+	assert.NilError(t, watch.stop())
+	assert.Assert(t, j.handover == nil)
+	assert.Equal(t, j.runs, runs)
+	assert.Assert(t, watch.refusedBy["b"])
+}
+
+// completeAt takes over the response of a handover, and checks that it is complete.
+func completeAt(t *testing.T, e *Entry, j *job, successor fleet.Server) {
+	t.Helper()
+
+	outcome := j.takeHandover(successor).receive(t.Context(), newResponse(e, j, successor).handle)
+	_, completed := outcome.(message.Completed)
+	assert.Assert(t, completed, "%#v", outcome)
+}
+
 // Guards against a silent server that is given up for one that refuses the request, or that is kept when another one has begun to run it (LOST).
 func TestSilentServerIsGivenUpOnceAnotherRunsTheRequest(t *testing.T) {
 	event := message.Data{Bytes: []byte("id: 1\ndata: b\n\n")}
@@ -104,22 +134,7 @@
 			if !c.handedOver {
 				<-asked.ended
 				assert.NilError(t, ctx.Err())
-
-				// The handover ends just after the exchange.
-				poll.WaitOn(t, func(poll.LogT) poll.Result {
-					watch.mu.Lock()
-					defer watch.mu.Unlock()
-
-					if watch.asked == nil {
-						return poll.Success()
-					}
-
-					return poll.Continue("the handover is under way")
-				})
-				assert.NilError(t, watch.stop())
-				assert.Assert(t, j.handover == nil)
-				assert.Equal(t, j.runs, c.runs)
-				assert.Assert(t, watch.refusedBy["b"])
+				assertNotTakenOver(t, watch, j, c.runs)
 
 				return
 			}
@@ -127,10 +142,7 @@
 			<-ctx.Done()
 			assert.ErrorIs(t, watch.stop(), errServerSilent)
 
-			taken := j.takeHandover(successor)
-			outcome := taken.receive(t.Context(), newResponse(e, j, successor).handle)
-			_, completed := outcome.(message.Completed)
-			assert.Assert(t, completed, "%#v", outcome)
+			completeAt(t, e, j, successor)
 			assert.Equal(t, sink.body, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n")
 		})
 	}
--- a/internal/forward/entry/leaving_test.go
+++ b/internal/forward/entry/leaving_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/catalog"
@@ -109,19 +108,7 @@
 			if !c.moved {
 				<-asked.ended
 				assert.NilError(t, ctx.Err())
-				poll.WaitOn(t, func(poll.LogT) poll.Result {
-					watch.mu.Lock()
-					defer watch.mu.Unlock()
-
-					if watch.asked == nil {
-						return poll.Success()
-					}
-
-					return poll.Continue("the handover is under way")
-				})
-				assert.NilError(t, watch.stop())
-				assert.Equal(t, j.runs, c.runs)
-				assert.Assert(t, watch.refusedBy["b"])
+				assertNotTakenOver(t, watch, j, c.runs)
 
 				return
 			}
@@ -131,9 +118,7 @@
 
 			j.splitter.Resume()
 
-			outcome := j.takeHandover(successor).receive(t.Context(), newResponse(e, j, successor).handle)
-			_, completed := outcome.(message.Completed)
-			assert.Assert(t, completed, "%#v", outcome)
+			completeAt(t, e, j, successor)
 			assert.Equal(t, sink.body, "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n")
 		})
 	}
