--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 TIME ?= 20s
 
-.PHONY: build test lint format generate demo soak soak-hosted soak-restore soak-machine soak-stop measure measure-own slopes bench fuzz
+.PHONY: build test lint format generate demo soak soak-hosted soak-restore soak-machine soak-stop soak-duty measure measure-own slopes bench fuzz
 
 build:
 	go build -o bin/chestnutbeam ./cmd/chestnutbeam
@@ -49,6 +49,10 @@
 soak-stop:
 	go test -count=1 -timeout 0 -parallel 2 -v -run '^TestStopSeeds$$' ./platform/soak -soak.stop.first $(SEED) -soak.stop.seeds $(SEEDS) -soak.length $(LENGTH)
 
+# Entries that hold duties of one VM beside faults of the holder, the store and the platform that takes their calls.
+soak-duty:
+	go test -count=1 -timeout 0 -parallel 2 -run '^TestDutySeeds$$' ./platform/soak -soak.duty.first $(SEED) -soak.duty.seeds $(SEEDS) -soak.length $(LENGTH)
+
 # Measures how memory, processor time and message sizes grow with the fleet; takes under two minutes.
 slopes:
 	go run ./cmd/slopes
