Limit by the store's clock which usage windows are fixed and skipped

Change: the row has an anchor: the difference between the time by which windows are numbered and the store's clock, and when it was determined. A write raises the difference by at most a fiftieth of the time on the store's clock since the row before. Windows are fixed and given up by the earlier of the true time and the anchor, and after a restore the row alone tells up to which window others can have fixed any. A holder sends the token that it has taken.

Limits: docs/design/duties.md, "The anchor". If the store's clock begins anew with a restore, or a clock is wrong by more than 3 minutes, the clock of the process decides as before.

--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -118,10 +118,10 @@
 
 // contentToTake returns what the row is to hold when this process takes the lease.
 func (r *UsageReporter) contentToTake() lease.Content {
-	now, _ := r.Counting.Now()
+	now := r.now()
 
 	if since, stale := r.subject.lease.StaleSince(); stale {
-		r.book.SkipBefore(r.Counting.True(since))
+		r.book.SkipBefore(r.book.Highest(r.Counting.True(since), r.subject.lease.StaleClock()))
 	}
 
 	r.book.Start(now)
@@ -129,9 +129,21 @@
 	return r.book.Content()
 }
 
+// now returns the time by which windows are fixed and given up.
+func (r *UsageReporter) now() time.Duration {
+	local := r.Counting.Clock()
+	now, _ := r.Counting.Now()
+
+	if earliest, latest, known := r.subject.lease.StoreClock(local); known {
+		return r.book.Limit(now, earliest, latest)
+	}
+
+	return now
+}
+
 // serve takes the next action of the holder: it reads the row, fixes counts and renews the lease, or sends a report.
 func (r *UsageReporter) serve(ctx context.Context) {
-	now, _ := r.Counting.Now()
+	now := r.now()
 	local := r.Counting.Clock()
 	lapsed := r.subject.lease.Left(local) == 0
 
--- a/internal/duty/holder/usage_test.go
+++ b/internal/duty/holder/usage_test.go
@@ -143,7 +143,7 @@
 	runSeeds(t, faults{clocks: true})
 }
 
-// Guards against broken rules when clocks are wrong and the store is restored. It is listed in KNOWN-RED.txt.
+// Guards against broken rules when clocks are wrong and the store is restored.
 func TestRulesHoldUnderClockErrorsAndRestores(t *testing.T) {
 	runSeeds(t, faults{clocks: true, restores: true})
 }
@@ -395,3 +395,62 @@
 	s.ahead = ahead
 	s.note("clocks are ahead by %v", ahead)
 }
+
+// Guards against two different reports for one window, of processes that do not know of each other's rows, since the store is restored from a copy
+// of before the first one: if the first one's clock was ahead when it fixed the window, and if the second one's is behind when it skips windows.
+func TestRestoreWithWrongClocks(t *testing.T) {
+	cases := map[string]struct {
+		// before and after are the errors of the clock that fixes windows before the restore, and of that of the successor.
+		before, after time.Duration
+	}{
+		"right clocks":        {},
+		"ahead before":        {before: 40 * time.Second},
+		"a minute ahead":      {before: time.Minute},
+		"behind after":        {after: -40 * time.Second},
+		"a minute behind":     {after: -time.Minute},
+		"ahead, then behind":  {before: time.Minute, after: -time.Minute},
+		"behind, then behind": {before: -20 * time.Second, after: -time.Minute},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(1)
+				defer s.stop()
+
+				first := s.start("a", true, true)
+
+				time.Sleep(20 * time.Second)
+				s.save()
+				first.setAhead(c.before)
+				time.Sleep(25 * time.Second)
+				first.kill()
+				s.restore()
+
+				second := s.start("b", true, false)
+				second.setAhead(c.after)
+				time.Sleep(20 * time.Second)
+				second.setAhead(0)
+
+				corrected := time.Now()
+
+				time.Sleep(2 * time.Minute)
+
+				for _, window := range windowsIn(corrected, time.Now().Add(-due)) {
+					assert.Assert(t, s.reported(window) >= 1, "window %d", window)
+				}
+
+				assert.Equal(t, len(s.violations), 0, "%v\n%s", s.violations, strings.Join(s.events, "\n"))
+			})
+		})
+	}
+}
+
+// setAhead sets the error of the clock of one VM.
+func (p *process) setAhead(ahead time.Duration) {
+	p.site.mu.Lock()
+	defer p.site.mu.Unlock()
+
+	p.ahead = ahead
+	p.site.note("clock of %+v is ahead by %v", p.self, ahead)
+}
--- a/internal/duty/lease/lease.go
+++ b/internal/duty/lease/lease.go
@@ -46,6 +46,12 @@
 	From, To int64
 }
 
+// Anchor is the difference between the true time by which windows are numbered and the store's clock, and the reading of that clock at which it was
+// determined. It is empty if it is not known.
+type Anchor struct {
+	Offset, At time.Duration
+}
+
 // Content is what a row carries for its duty.
 type Content struct {
 	// Reports are the fixed reports of the last windows, oldest first, and NextWindow is the first window that may still be fixed.
@@ -53,6 +59,8 @@
 	NextWindow int64
 	// Missed are windows before NextWindow that were given up and never fixed. They may still be fixed if the clock was wrong by which they were late.
 	Missed Span
+	// Anchor limits by which times windows may be fixed, since the clock of a holder may be wrong.
+	Anchor Anchor
 	// Servers is the number of servers that was ordered last; 0 if none was.
 	Servers int
 }
@@ -108,8 +116,9 @@
 	era      int64
 	firstEra int64
 	// seenAt is when the row was first observed in this version, and staleAt when it was first observed that the store's era is later than
-	// that of the row.
+	// that of the row. staleClock is the store's clock in the answer that showed this, so that the restore was earlier.
 	seenAt, staleAt time.Duration
+	staleClock      time.Duration
 	stale           bool
 	// clock is the store's clock in the answer to a request that was sent at requested and answered at answered.
 	clock, requested, answered time.Duration
@@ -138,9 +147,10 @@
 	return l.row
 }
 
-// Fence returns the fencing token of this holder; it is valid while the lease is held.
+// Fence returns the fencing token of this holder; it is valid while the lease is held. After a restore of the store, the row may be one that this
+// process wrote when it held the lease before, with a lower token.
 func (l *Lease) Fence() int64 {
-	return l.row.Fence
+	return l.fence
 }
 
 // IsOwn reports whether the row names this process as the holder. It may do so after the lease has expired.
@@ -189,7 +199,7 @@
 
 	l.row, l.version, l.era = answer.Row, answer.Version, answer.Era
 	l.observed, l.known = true, true
-	l.observeStale(answer.Answered, restored)
+	l.observeStale(answer, restored)
 	l.resolvePending()
 	l.held = l.held && l.IsOwn()
 
@@ -208,11 +218,11 @@
 }
 
 // observeStale records since when the row is of an earlier era than the store. A missing row counts as one unless it was never written.
-func (l *Lease) observeStale(now time.Duration, restored bool) {
+func (l *Lease) observeStale(answer Answer, restored bool) {
 	stale := l.row != nil && l.row.Era != l.era || l.row == nil && !l.neverWritten()
 
 	if stale && (!l.stale || restored) {
-		l.staleAt = now
+		l.staleAt, l.staleClock = answer.Answered, answer.Clock
 	}
 
 	l.stale = stale
@@ -248,6 +258,11 @@
 	return l.clock + now - l.answered
 }
 
+// StoreClock returns the lowest and the highest reading that the store's clock can have at a local time; false if it is not known.
+func (l *Lease) StoreClock(now time.Duration) (earliest, latest time.Duration, known bool) {
+	return l.earliest(now), l.latest(now), l.clock != 0
+}
+
 // TakeAt returns the local time from which this process, which is not the holder, may take the lease.
 func (l *Lease) TakeAt() time.Duration {
 	switch {
@@ -284,6 +299,11 @@
 	return l.staleAt, l.stale
 }
 
+// StaleClock returns a reading of the store's clock by which the restore was over that StaleSince tells of; 0 if it is not known.
+func (l *Lease) StaleClock() time.Duration {
+	return l.staleClock
+}
+
 // Next returns the write that takes or renews the lease with new content; false if this process may not write now, or has to read the row first.
 func (l *Lease) Next(now time.Duration, content Content) (Write, bool) {
 	if !l.known || l.pending != nil {
@@ -324,7 +344,7 @@
 func (l *Lease) take(now time.Duration, content Content) Write {
 	// Versions increase within an era. The token therefore increases too, whatever the row holds: a write from before a restore may have arrived
 	// late and replaced it.
-	row := Row{Holder: l.Self, Fence: l.era<<eraShift + l.version + 1}
+	row := Row{Holder: l.Self, Fence: max(l.era<<eraShift+l.version, l.fence) + 1}
 
 	if l.row != nil {
 		row.Fence = max(row.Fence, l.row.Fence+1)
--- a/internal/duty/lease/lease_test.go
+++ b/internal/duty/lease/lease_test.go
@@ -203,6 +203,23 @@
 	assert.Equal(t, write.Row.Fence, int64(1<<32+5))
 }
 
+// Guards against calls with the token of an earlier tenure of this process, if the store is restored from a copy of that time during a later one.
+func TestFenceOfAnEarlierTenure(t *testing.T) {
+	l := taken(t)
+	first := *l.Row()
+
+	l.Observe(answer(10*time.Second, 0, &lease.Row{Holder: other, Fence: 9, Expires: clock + 10*time.Second}, 9))
+
+	write, ok := l.Next(local+11*time.Second, lease.Content{})
+	assert.Assert(t, ok)
+	l.Confirm(write, answer(11*time.Second, 0, nil, 10))
+	assert.Equal(t, l.Fence(), int64(10))
+
+	l.Observe(answer(12*time.Second, 1, &first, 8))
+	assert.Assert(t, l.Left(local+12*time.Second) > 0)
+	assert.Equal(t, l.Fence(), int64(10))
+}
+
 // Guards against a write at a version that was read long ago: a restored store gives it out again, possibly to another holder.
 func TestVersionReadLongAgoIsReadAgain(t *testing.T) {
 	l := taken(t)
--- a/internal/duty/usage/book.go
+++ b/internal/duty/usage/book.go
@@ -27,17 +27,23 @@
 	next    int64
 	// missed are windows before next that were given up and that nobody has fixed: the clock may have been wrong by which they were late.
 	missed lease.Span
+	// base is the anchor of the row, and anchor that of the next one.
+	base, anchor lease.Anchor
 	// proposed holds the reports that this process has tried to fix, by window.
 	proposed map[int64]lease.Report
+	// disputed holds the windows that were fixed with various counts.
+	disputed map[int64]bool
 	// done holds the windows whose report has arrived or was given up.
 	done map[int64]bool
 }
 
-// Adopt records the content of a row. What this process knows of a report stays, also if the row lacks it or has another one: the store may have
-// been restored from an older copy, and a write of before may have arrived late.
+// Adopt records the content of a row. What this process knows of a report stays, also if the row lacks it: the store may have been restored from an
+// older copy. If the row has other counts, a write of before the restore has arrived late. Either counts may have been reported, so that neither
+// are sent from then on.
 func (b *Book) Adopt(content lease.Content) {
 	b.missed = unfixed(lease.Content{NextWindow: b.next, Missed: b.missed}, content)
 	b.next = max(b.next, content.NextWindow)
+	b.base, b.anchor = content.Anchor, content.Anchor
 
 	for _, report := range content.Reports {
 		b.put(report)
@@ -68,7 +74,12 @@
 func (b *Book) put(report lease.Report) {
 	at, known := slices.BinarySearchFunc(b.reports, report.Window, func(r lease.Report, window int64) int { return cmp.Compare(r.Window, window) })
 
-	if known {
+	if known && !maps.Equal(b.reports[at].Counts, report.Counts) {
+		b.dispute(at)
+		return
+	}
+
+	if known || b.disputed[report.Window] {
 		return
 	}
 
@@ -77,6 +88,18 @@
 	maps.DeleteFunc(b.done, func(window int64, _ bool) bool { return window < b.reports[0].Window })
 }
 
+// dispute removes the report at an index for good.
+func (b *Book) dispute(at int) {
+	if b.disputed == nil {
+		b.disputed = map[int64]bool{}
+	}
+
+	window := b.reports[at].Window
+	maps.DeleteFunc(b.disputed, func(earlier int64, _ bool) bool { return earlier < window-maxReports })
+	b.disputed[window] = true
+	b.reports = slices.Delete(b.reports, at, at+1)
+}
+
 // trim keeps the latest reports, apart of the missed windows and those before them, and of those after them: a missed window that is fixed comes
 // before windows that were fixed while the clock was ahead.
 func (b *Book) trim() {
@@ -97,7 +120,7 @@
 
 // Content returns what the row is to hold.
 func (b *Book) Content() lease.Content {
-	return lease.Content{Reports: slices.Clone(b.reports), NextWindow: b.next, Missed: b.missed}
+	return lease.Content{Reports: slices.Clone(b.reports), NextWindow: b.next, Missed: b.missed, Anchor: b.anchor}
 }
 
 // Start makes the window before a time the first one that may be fixed, unless another one is known.
@@ -107,10 +130,12 @@
 	}
 }
 
-// SkipBefore gives up the windows that ended before a time: their counts may have been fixed, and it is not known as what.
+// SkipBefore gives up the windows that ended before a time: their counts may have been fixed, and it is not known as what. Fixed reports are given up
+// as well: a write of before a restore of the store may have arrived late, and has other counts than those that were reported.
 func (b *Book) SkipBefore(at time.Duration) {
 	b.next = max(b.next, Number(at, b.Length))
 	b.missed = lease.Span{}
+	b.reports = slices.DeleteFunc(b.reports, func(report lease.Report) bool { return report.Window < b.next })
 }
 
 // Overdue gives up the windows whose report would arrive too late, and returns their number. They count as missed, except those that this process
@@ -171,7 +196,7 @@
 // WithFixed returns what the row is to hold once the reports of some of the windows of ToFix are fixed, the others of which have none. The book
 // itself changes when the row is known to hold them.
 func (b *Book) WithFixed(reports []lease.Report, windows []int64) lease.Content {
-	changed := Book{Length: b.Length, Due: b.Due, reports: slices.Clone(b.reports), next: b.next, missed: b.missed}
+	changed := Book{Length: b.Length, Due: b.Due, reports: slices.Clone(b.reports), next: b.next, missed: b.missed, anchor: b.anchor}
 
 	for _, report := range reports {
 		changed.put(report)
