Rename and describe parts of the latest changes that were unclear

Tests call them by the new names; their checks are unchanged.

Functions: ObserveIntervals is split by the two bounds that an interval gives. The search for a report, the time at which a window is to be fixed and the first missed window in time stood several times in usage.Book, and the set-up of a large prompt twice in chunk_test.go. measure/play no longer converts an adapter to the same type.

Comments: some did not tell which failure a test guards against, what a side effect or an argument is, or why a step is needed.

No behaviour is changed.

--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -11,11 +11,12 @@
 	// same time may take the whole budget before any of them has reached its size, and all fail.
 	Headroom int64
 
-	used  atomic.Int64
+	used atomic.Int64
+	// first is the reservation that may use the headroom; nil if none grows.
 	first atomic.Pointer[Reservation]
 }
 
-// take reserves bytes for a reservation and reports whether there were enough.
+// take reserves bytes for a reservation and reports whether there were enough. The reservation gets the headroom if no other one has it.
 func (b *Budget) take(r *Reservation, bytes int64) bool {
 	limit := b.Limit
 	if b.Headroom > 0 && !b.first.CompareAndSwap(nil, r) && b.first.Load() != r {
@@ -66,7 +67,7 @@
 	return true
 }
 
-// Settle states that the reservation grows no more for now, so that another one may use the headroom.
+// Settle leaves the headroom to other reservations: this one does not grow for now.
 func (r *Reservation) Settle() {
 	if r.Budget != nil {
 		r.Budget.first.CompareAndSwap(r, nil)
--- a/internal/duty/holder/scaler.go
+++ b/internal/duty/holder/scaler.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// byLastTry returns the loads in the order of the last attempts to order for them. One whose order is refused again and again would use the whole rate
-// of calls otherwise.
+// byLastTry sorts the loads by the last attempt to order servers for them, earliest first. Otherwise a subject whose order is refused again and again
+// would use the whole rate of calls.
 func (s *Scaler) byLastTry(loads []scale.Load) []scale.Load {
 	slices.SortStableFunc(loads, func(a, b scale.Load) int {
 		return cmp.Compare(s.scaling(a.Subject).nextTry, s.scaling(b.Subject).nextTry)
--- a/internal/duty/holder/usage.go
+++ b/internal/duty/holder/usage.go
@@ -121,7 +121,7 @@
 	now := r.now()
 
 	if since, stale := r.subject.lease.StaleSince(); stale {
-		r.book.SkipBefore(r.book.Highest(r.Counting.True(since), r.subject.lease.StaleClock()))
+		r.book.SkipBefore(r.book.FixedUpTo(r.Counting.True(since), r.subject.lease.StaleClock()))
 	}
 
 	r.book.Start(now)
--- a/internal/duty/lease/lease.go
+++ b/internal/duty/lease/lease.go
@@ -41,7 +41,7 @@
 	Counts map[string]int64
 }
 
-// Span is a range of windows: From and those after it, up to To, which is excluded.
+// Span is the range of the windows from From on and before To.
 type Span struct {
 	From, To int64
 }
@@ -116,7 +116,8 @@
 	era      int64
 	firstEra int64
 	// seenAt is when the row was first observed in this version, and staleAt when it was first observed that the store's era is later than
-	// that of the row. staleClock is the store's clock in the answer that showed this, so that the restore was earlier.
+	// that of the row. staleClock is the store's clock in the answer that showed this: the restore was
+	// earlier.
 	seenAt, staleAt time.Duration
 	staleClock      time.Duration
 	stale           bool
@@ -299,7 +300,8 @@
 	return l.staleAt, l.stale
 }
 
-// StaleClock returns a reading of the store's clock by which the restore was over that StaleSince tells of; 0 if it is not known.
+// StaleClock returns the store's clock in the answer that showed the restore reported by StaleSince: the restore was before. It is 0 if it is not
+// known.
 func (l *Lease) StaleClock() time.Duration {
 	return l.staleClock
 }
--- a/internal/duty/usage/anchor_test.go
+++ b/internal/duty/usage/anchor_test.go
@@ -23,21 +23,21 @@
 		anchor lease.Anchor
 		// clock is the store's clock at the earliest, and ahead the error of the clock of this process.
 		clock, ahead time.Duration
-		// limit and highest are differences to the true time.
-		limit, highest time.Duration
-		next           lease.Anchor
+		// limit and fixedUpTo are differences to the true time.
+		limit, fixedUpTo time.Duration
+		next             lease.Anchor
 	}{
 		"right":              {anchor: anchor, clock: hour, next: anchor},
-		"a minute ahead":     {anchor: anchor, clock: hour, ahead: time.Minute, next: anchor, highest: time.Minute},
-		"a minute behind":    {anchor: anchor, clock: hour, ahead: -time.Minute, limit: -time.Minute, next: anchor, highest: -usage.FixDelay},
-		"rises slowly":       {anchor: anchor, clock: hour + 20*time.Second, ahead: time.Minute, limit: 400 * time.Millisecond, next: lease.Anchor{Offset: offset + 400*time.Millisecond, At: hour + 20*time.Second}, highest: time.Minute},
-		"falls more slowly":  {anchor: anchor, clock: hour + 20*time.Second, ahead: -time.Minute, limit: -time.Minute, next: lease.Anchor{Offset: offset - 20*time.Millisecond, At: hour + 20*time.Second}, highest: 400*time.Millisecond - usage.FixDelay},
-		"recovers":           {anchor: lease.Anchor{Offset: offset - time.Minute, At: hour}, clock: hour + 55*time.Minute, next: lease.Anchor{Offset: offset, At: hour + 55*time.Minute}, highest: 6*time.Second - usage.FixDelay},
+		"a minute ahead":     {anchor: anchor, clock: hour, ahead: time.Minute, next: anchor, fixedUpTo: time.Minute},
+		"a minute behind":    {anchor: anchor, clock: hour, ahead: -time.Minute, limit: -time.Minute, next: anchor, fixedUpTo: -usage.FixDelay},
+		"rises slowly":       {anchor: anchor, clock: hour + 20*time.Second, ahead: time.Minute, limit: 400 * time.Millisecond, next: lease.Anchor{Offset: offset + 400*time.Millisecond, At: hour + 20*time.Second}, fixedUpTo: time.Minute},
+		"falls more slowly":  {anchor: anchor, clock: hour + 20*time.Second, ahead: -time.Minute, limit: -time.Minute, next: lease.Anchor{Offset: offset - 20*time.Millisecond, At: hour + 20*time.Second}, fixedUpTo: 400*time.Millisecond - usage.FixDelay},
+		"recovers":           {anchor: lease.Anchor{Offset: offset - time.Minute, At: hour}, clock: hour + 55*time.Minute, next: lease.Anchor{Offset: offset, At: hour + 55*time.Minute}, fixedUpTo: 6*time.Second - usage.FixDelay},
 		"clock began anew":   {anchor: anchor, clock: time.Minute, next: lease.Anchor{Offset: offset, At: time.Minute}},
 		"another clock":      {anchor: lease.Anchor{Offset: offset - hour, At: hour}, clock: 2 * hour, next: lease.Anchor{Offset: offset, At: 2 * hour}},
-		"no anchor":          {clock: hour, ahead: time.Minute, limit: time.Minute, next: lease.Anchor{Offset: offset + time.Minute, At: hour}, highest: time.Minute},
-		"ten minutes ahead":  {anchor: anchor, clock: hour, ahead: 10 * time.Minute, limit: 10 * time.Minute, next: lease.Anchor{Offset: offset + 10*time.Minute, At: hour}, highest: 10 * time.Minute},
-		"ten minutes behind": {anchor: anchor, clock: hour, ahead: -10 * time.Minute, limit: -10 * time.Minute, next: lease.Anchor{Offset: offset - 10*time.Minute, At: hour}, highest: -10 * time.Minute},
+		"no anchor":          {clock: hour, ahead: time.Minute, limit: time.Minute, next: lease.Anchor{Offset: offset + time.Minute, At: hour}, fixedUpTo: time.Minute},
+		"ten minutes ahead":  {anchor: anchor, clock: hour, ahead: 10 * time.Minute, limit: 10 * time.Minute, next: lease.Anchor{Offset: offset + 10*time.Minute, At: hour}, fixedUpTo: 10 * time.Minute},
+		"ten minutes behind": {anchor: anchor, clock: hour, ahead: -10 * time.Minute, limit: -10 * time.Minute, next: lease.Anchor{Offset: offset - 10*time.Minute, At: hour}, fixedUpTo: -10 * time.Minute},
 	}
 
 	for name, c := range cases {
@@ -46,7 +46,7 @@
 			book.Adopt(lease.Content{NextWindow: 3, Anchor: c.anchor})
 
 			now := c.clock + offset
-			assert.Equal(t, book.Highest(now+c.ahead, c.clock)-now, c.highest)
+			assert.Equal(t, book.FixedUpTo(now+c.ahead, c.clock)-now, c.fixedUpTo)
 			assert.Equal(t, book.Limit(now+c.ahead, c.clock, c.clock+latency)-now, c.limit)
 			assert.Equal(t, book.Content().Anchor, c.next)
 		})
--- a/internal/duty/usage/book.go
+++ b/internal/duty/usage/book.go
@@ -71,8 +71,9 @@
 	return window >= b.missed.From && window < b.missed.To
 }
 
+// put adds a fixed report unless its window has one already. If that one has other counts, neither is kept.
 func (b *Book) put(report lease.Report) {
-	at, known := slices.BinarySearchFunc(b.reports, report.Window, func(r lease.Report, window int64) int { return cmp.Compare(r.Window, window) })
+	at, known := b.search(report.Window)
 
 	if known && !maps.Equal(b.reports[at].Counts, report.Counts) {
 		b.dispute(at)
@@ -88,6 +89,11 @@
 	maps.DeleteFunc(b.done, func(window int64, _ bool) bool { return window < b.reports[0].Window })
 }
 
+// search returns the index of the report of a window, or the one at which it is to be inserted, and whether it is known.
+func (b *Book) search(window int64) (int, bool) {
+	return slices.BinarySearchFunc(b.reports, window, func(r lease.Report, number int64) int { return cmp.Compare(r.Window, number) })
+}
+
 // dispute removes the report at an index for good.
 func (b *Book) dispute(at int) {
 	if b.disputed == nil {
@@ -100,10 +106,10 @@
 	b.reports = slices.Delete(b.reports, at, at+1)
 }
 
-// trim keeps the latest reports, apart of the missed windows and those before them, and of those after them: a missed window that is fixed comes
-// before windows that were fixed while the clock was ahead.
+// trim keeps the latest reports of windows before the end of the missed ones, and the latest of those after it. Both are needed, since a missed
+// window is earlier than the windows that were fixed while the clock was ahead, but is fixed after them.
 func (b *Book) trim() {
-	after, _ := slices.BinarySearchFunc(b.reports, b.missed.To, func(r lease.Report, window int64) int { return cmp.Compare(r.Window, window) })
+	after, _ := b.search(b.missed.To)
 	early, late := b.reports[:after], b.reports[after:]
 	b.reports = slices.Concat(early[max(len(early)-b.kept(), 0):], late[max(len(late)-b.kept(), 0):])
 }
@@ -169,31 +175,42 @@
 	return Number(now-b.Due, b.Length)
 }
 
-// FixAt returns the time at which the next window is to be fixed.
+// firstMissedInTime returns the first missed window whose report can still arrive in time; it is not before the end of the missed ones if there
+// is none.
+func (b *Book) firstMissedInTime(now time.Duration) int64 {
+	return max(b.missed.From, b.firstInTime(now))
+}
+
+// fixAt returns the time at which a window is to be fixed.
+func (b *Book) fixAt(window int64) time.Duration {
+	return End(window, b.Length) + FixDelay
+}
+
+// FixAt returns the time at which the next window is to be fixed: a missed one if its report can still arrive in time.
 func (b *Book) FixAt(now time.Duration) time.Duration {
-	if window := max(b.missed.From, b.firstInTime(now)); window < b.missed.To {
-		return End(window, b.Length) + FixDelay
+	if window := b.firstMissedInTime(now); window < b.missed.To {
+		return b.fixAt(window)
 	}
 
-	return End(b.next, b.Length) + FixDelay
+	return b.fixAt(b.next)
 }
 
 // ToFix returns the windows that are to be fixed now, oldest first. Missed windows are among them if their reports can arrive in time after all.
 func (b *Book) ToFix(now time.Duration) []int64 {
 	var windows []int64
 
-	for window := max(b.missed.From, b.firstInTime(now)); window < b.missed.To && End(window, b.Length)+FixDelay <= now; window++ {
+	for window := b.firstMissedInTime(now); window < b.missed.To && b.fixAt(window) <= now; window++ {
 		windows = append(windows, window)
 	}
 
-	for window := b.next; b.next != 0 && End(window, b.Length)+FixDelay <= now; window++ {
+	for window := b.next; b.next != 0 && b.fixAt(window) <= now; window++ {
 		windows = append(windows, window)
 	}
 
 	return windows
 }
 
-// WithFixed returns what the row is to hold once the reports of some of the windows of ToFix are fixed, the others of which have none. The book
+// WithFixed returns what the row is to hold once some windows of ToFix are fixed, of which those without one of the reports had no requests. The book
 // itself changes when the row is known to hold them.
 func (b *Book) WithFixed(reports []lease.Report, windows []int64) lease.Content {
 	changed := Book{Length: b.Length, Due: b.Due, reports: slices.Clone(b.reports), next: b.next, missed: b.missed, anchor: b.anchor}
--- a/internal/duty/usage/count.go
+++ b/internal/duty/usage/count.go
@@ -131,7 +131,7 @@
 	current := Number(now+c.offset, c.Length)
 	oldest := current - min(max(int64(c.Due/c.Length)+2, minKept), maxReported) + 1
 
-	// Windows of the future are those of a clock that was ahead; one more is kept, since the true time may be corrected by little.
+	// Later windows than the next one were counted while the clock was ahead. The next one is kept: a small correction may have set the time back.
 	maps.DeleteFunc(c.windows, func(number int64, _ Counts) bool { return number < oldest || number > current+1 })
 
 	c.revision++
--- a/internal/duty/usage/records.go
+++ b/internal/duty/usage/records.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// forgetFuture removes the windows after those of a later message. An entry lacks a window that it has sent before if its clock was ahead.
+// forgetFuture removes the known windows that are later than all of those of a newer message: the entry's clock was ahead when it sent them.
 func (r *reported) forgetFuture(windows []Window) {
 	last, revision := int64(0), int64(0)
 	for _, window := range windows {
@@ -166,8 +166,8 @@
 	return total
 }
 
-// Latest returns one tally for each process. Several agents may know the counts of one process: those of the highest revision count, also where
-// they are lower than others. Of counts without a revision, the highest of each client account are the latest.
+// Latest returns one tally for each process. Several agents may know the counts of one process: those of the highest revision are taken, also where
+// they are lower than others. Of those of the same revision, as without one, the highest count of each client account is taken.
 func Latest(tallies []Tally) []Tally {
 	var latest []Tally
 
--- a/internal/forward/agent/quarantine_test.go
+++ b/internal/forward/agent/quarantine_test.go
@@ -30,7 +30,8 @@
 	}
 }
 
-// Guards against a request that waits at an agent while what it holds is quarantined, and ends one more server when it is sent.
+// Guards against a request that waits at an agent while it, its prompt part or its adapter is quarantined, and ends one more server when it is sent;
+// and against the refusal of one that is not concerned or may be a trial.
 func TestWaitingRequestIsRefusedWhenItIsQuarantined(t *testing.T) {
 	digest := quarantine.RequestDigest(&message.Request{Method: "POST", Target: "/quote/1"}, "acme")
 
--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -130,7 +130,8 @@
 }
 
 // brokenStreamOutcome returns the outcome of a request whose stream to the agent ended before an outcome was received: the request may
-// have run, unless no connection was made, or the agent has not received or not read all of the request.
+// have run, unless no connection was made, the agent has not read all of the request, or its end was not written and the request was not given up
+// meanwhile.
 func brokenStreamOutcome(ctx context.Context, err error) message.Event {
 	if errors.Is(err, conn.ErrDial) {
 		return message.Refused{Err: fault.Wrap(err, fault.NoServer, "cannot connect to the agent")}
--- a/internal/forward/link/usage.go
+++ b/internal/forward/link/usage.go
@@ -59,8 +59,9 @@
 	return connected > 0 && 2*connected >= len(l.links)
 }
 
-// keepers returns the number of agents that may keep counts of entries. Those of servers that have vanished from the list do if they are connected.
-func (l *Links) keepers() int {
+// usageAgentCount returns the number of agents that may keep counts of entries. An agent whose server has vanished from the list is one of them only
+// while it is connected.
+func (l *Links) usageAgentCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -134,7 +135,7 @@
 	for range addresses {
 		select {
 		case <-bounded.Done():
-			return tallies, usage.Complete(u.Links.keepers(), answered)
+			return tallies, usage.Complete(u.Links.usageAgentCount(), answered)
 		case reply := <-replies:
 			if reply == nil {
 				continue
@@ -146,5 +147,5 @@
 		}
 	}
 
-	return tallies, usage.Complete(u.Links.keepers(), answered)
+	return tallies, usage.Complete(u.Links.usageAgentCount(), answered)
 }
--- a/internal/forward/link/usage_test.go
+++ b/internal/forward/link/usage_test.go
@@ -50,14 +50,15 @@
 	}
 }
 
-// Guards against agents that are not connected and whose counts do not count as missing, and against servers that have gone for which a report waits.
+// Guards against a count that is taken for complete while agents of listed servers are not connected, and against a report that waits for the agents
+// of servers that have gone.
 func TestAgentsThatMayKeepCounts(t *testing.T) {
 	l := &Links{links: map[string]*link{
 		"connected": {connected: true}, "lost": {},
 		"vanished": {server: fleet.Server{Vanished: true}}, "unlisted": {connected: true, server: fleet.Server{Vanished: true}},
 	}}
 
-	assert.Equal(t, l.keepers(), 3)
+	assert.Equal(t, l.usageAgentCount(), 3)
 }
 
 // Guards against a reading that is taken for complete although no agent answers.
--- a/internal/forward/pace/chunk.go
+++ b/internal/forward/pace/chunk.go
@@ -7,7 +7,7 @@
 
 const (
 	// chunkEvidence is the evidence from which the time between two events during a prefill is known, and intervalEvidence the most that one
-	// interval gives, so that at least two count. An interval gives as much as the prefill is longer than it.
+	// interval gives, so that at least two are needed. The evidence of an interval is the time of the prefill divided by that of the interval.
 	chunkEvidence    = 2.4
 	intervalEvidence = 2.0
 	// chunkReserve is the longest time that is expected between two events during a prefill, as a percentage of the known one.
@@ -21,15 +21,15 @@
 	// minShare is the least share of an event that must have been made within the prefill. Servers that prefill a large chunk make the remaining
 	// tokens of an event in quick steps before or after it, so that the pause is not several times the chunk.
 	minShare = 0.5
-	// leastEventPart is the shortest time between two events as a share of the mean: some events hold three tokens and some four.
-	leastEventPart = 0.75
-	// The mean of at least groupEvents events within at least groupPeriod is compared with the lowest mean, which is raised by groupRise with each one.
-	// A moment of slowness has few of them, and half a second is five.
+	// shortestEventShare is the shortest time between two events as a share of the mean: some events hold three tokens and some four.
+	shortestEventShare = 0.75
+	// Times between events are averaged in groups of at least groupEvents events and groupPeriod. With each group, the lowest mean is raised by
+	// groupRise at most. Half a second has five groups, so that a moment of slowness raises it little.
 	groupEvents = 4
 	groupPeriod = 100 * time.Millisecond
 	groupRise   = 1.01
-	// defaultLeastEvent is below the time between two events of any server, as long as there is no mean.
-	defaultLeastEvent = defaultEventTime / 2
+	// defaultFastestEvent is used as long as there is no mean; the time between two events is longer at any server.
+	defaultFastestEvent = defaultEventTime / 2
 	// minEventRatio is the time between two events during a prefill, relative to that without one, from which the server prefilled between them. A
 	// prompt may also wait at the server.
 	minEventRatio = 1.25
@@ -67,14 +67,14 @@
 // chunks is what is known about the time between two events of a stream while the server prefills, at the slowness of 100 percent. A server prefills
 // at most one chunk in a step, and makes an event in a few steps.
 type chunks struct {
-	// time is close to the longest of the latest times, and the longest of all until the evidence suffices.
+	// time is close to the longest of the latest times, and the longest of all until the evidence suffices. evidence is at most chunkEvidence.
 	time     time.Duration
 	evidence float64
 	// lastEnd is the end of the last interval that gave evidence.
 	lastEnd time.Time
 }
 
-// raise records a prefill that took at least the given time between two events.
+// raise records that two events during a prefill were at least the given time apart.
 func (c *chunks) raise(took time.Duration) {
 	if !c.known() || float64(took) > float64(c.time)*contradiction {
 		c.time = max(c.time, took)
@@ -106,73 +106,83 @@
 	return c.evidence >= chunkEvidence
 }
 
-// leastEvents is the time between two events while no prompt is prefilled at the fastest pace of the server, without regard to what it states: a
-// statement may be too old by the time of an event.
-type leastEvents struct {
+// fastestEvent estimates the time between two events while no prompt is prefilled, at the fastest pace of the server. It does not use the slowness
+// that the server states: a statement may be too old for a single event.
+type fastestEvent struct {
+	// lowest is the lowest mean of a group of events; 0 if there was none.
 	lowest time.Duration
-	// sum is that of count events since began.
+	// sum is the total time between the count events since began, which are the present group.
 	sum   time.Duration
 	count int
 	began time.Time
 }
 
-func (l *leastEvents) observe(now time.Time, took time.Duration) {
-	if l.count == 0 {
-		l.began = now
+func (f *fastestEvent) observe(now time.Time, took time.Duration) {
+	if f.count == 0 {
+		f.began = now
 	}
 
-	l.sum += took
-	l.count++
+	f.sum += took
+	f.count++
 
-	if l.count < groupEvents || now.Sub(l.began) < groupPeriod {
+	if f.count < groupEvents || now.Sub(f.began) < groupPeriod {
 		return
 	}
 
-	mean := l.sum / time.Duration(l.count)
-	if raised := time.Duration(float64(l.lowest) * groupRise); l.lowest > 0 {
+	mean := f.sum / time.Duration(f.count)
+	if raised := time.Duration(float64(f.lowest) * groupRise); f.lowest > 0 {
 		mean = min(mean, raised)
 	}
 
-	*l = leastEvents{lowest: mean}
+	*f = fastestEvent{lowest: mean}
 }
 
-func (l *leastEvents) time() time.Duration {
-	if l.lowest == 0 {
-		return defaultLeastEvent
+func (f *fastestEvent) time() time.Duration {
+	if f.lowest == 0 {
+		return defaultFastestEvent
 	}
 
-	return l.lowest
+	return f.lowest
 }
 
 // ObserveIntervals records intervals between events of streams that overlap a prefill which has ended. It is called before the prefill is passed
 // to ObservePrefill, so that a prompt which waited at the server does not seem to be prefilled at the usual pace.
 //
-// An interval that lies within the prefill in part gives two bounds: the server prefilled in the whole overlap at most, and if the event had been made
-// within the prefill as a whole, it would have taken longer than the overlap by as much as the rest of the event was made outside.
+// An interval gives two bounds for the time between two events during a prefill: that time may be as long as the overlap, and it is at most the
+// overlap, extended by what the server would have taken within the prefill for the part of the event that it made outside.
 func (e *Estimator) ObserveIntervals(span PrefillSpan, intervals ...Interval) {
 	if span.Tokens < minPromptTokens || span.took() <= 0 {
 		return
 	}
 
 	expected := e.UsualPrefill().Time(span.Tokens)
-	steady := float64(span.took()) <= float64(expected)*maxPrefillRatio && !slices.ContainsFunc(intervals, func(i Interval) bool { return e.isUndisturbed(span, i) })
+	waited := slices.ContainsFunc(intervals, func(i Interval) bool { return e.isUndisturbed(span, i) })
+	steady := !waited && float64(span.took()) <= float64(expected)*maxPrefillRatio
 
 	for _, interval := range intervals {
-		overlap := span.overlap(interval)
-
 		// A longer prefill than usual was slow, and so was the interval.
-		e.chunks.raise(e.atUsual(time.Duration(float64(overlap) * min(float64(expected)/float64(span.took()), 1))))
+		overlap := float64(span.overlap(interval)) * min(float64(expected)/float64(span.took()), 1)
+		e.chunks.raise(e.atUsual(time.Duration(overlap)))
 
-		// The event may be from the step that ended the prefill.
-		if !steady || overlap <= 0 || span.Ended.Sub(interval.Ended) < e.undisturbedTime(span) {
-			continue
+		if steady {
+			e.observeExtended(span, interval)
 		}
+	}
+}
 
-		outside := interval.took() - overlap
-		if e.leastShare(outside) >= minShare && e.isDelayed(span, interval) {
-			whole := float64(overlap) / e.usualShare(outside)
-			e.chunks.observe(e.atUsual(time.Duration(whole)), float64(span.took())/float64(interval.took()), interval.Ended)
-		}
+// observeExtended extends the overlap of an interval with a prefill to a whole event, and records the result if the interval is evidence.
+func (e *Estimator) observeExtended(span PrefillSpan, interval Interval) {
+	overlap := span.overlap(interval)
+
+	// The event may be from the step that ended the prefill.
+	if overlap <= 0 || span.Ended.Sub(interval.Ended) < e.undisturbedTime(span) {
+		return
+	}
+
+	outside := interval.took() - overlap
+	if e.leastShareWithin(outside) >= minShare && e.isDelayed(span, interval) {
+		whole := float64(overlap) / e.usualShareWithin(outside)
+		e.chunks.observe(e.atUsual(time.Duration(whole)), float64(span.took())/float64(interval.took()), interval.Ended)
 	}
 }
 
@@ -184,7 +194,7 @@
 // undisturbedTime returns the time between two events without a prefill, at the pace in which a prefill ended or the fastest one if that is lower:
 // the server may have been slow only for the last statement.
 func (e *Estimator) undisturbedTime(span PrefillSpan) time.Duration {
-	return max(e.EventTime(span.Ended), e.leastEvents.time())
+	return max(e.EventTime(span.Ended), e.fastestEvent.time())
 }
 
 // isUndisturbed reports whether an interval lies within the prefill and was no longer than without one. The prompt waited at the server then.
@@ -197,14 +207,15 @@
 	return took * Usual / time.Duration(e.usual())
 }
 
-// usualShare returns the share of an event that was made within a prefill, if the server took the given time for the rest at its usual pace.
-func (e *Estimator) usualShare(outside time.Duration) float64 {
-	return 1 - float64(outside)/float64(e.leastEvents.time())
+// usualShareWithin returns the share of an event of the mean length that was made within a prefill, if the server took the given time for the rest
+// of it at its fastest pace.
+func (e *Estimator) usualShareWithin(outside time.Duration) float64 {
+	return 1 - float64(outside)/float64(e.fastestEvent.time())
 }
 
-// leastShare returns the least share for events of any length.
-func (e *Estimator) leastShare(outside time.Duration) float64 {
-	return 1 - float64(outside)/(leastEventPart*float64(e.leastEvents.time()))
+// leastShareWithin is usualShareWithin for the shortest events.
+func (e *Estimator) leastShareWithin(outside time.Duration) float64 {
+	return 1 - float64(outside)/(shortestEventShare*float64(e.fastestEvent.time()))
 }
 
 // ChunkedEventTime returns the longest time that is expected between two events of a stream while a prompt is prefilled, however long that
@@ -213,7 +224,7 @@
 	return e.scale(now, e.chunks.time*chunkReserve/Usual), e.chunks.known()
 }
 
-// IsChunkedAssumed reports whether there is any evidence for the time of ChunkedEventTime, although it may not be known.
-func (e *Estimator) IsChunkedAssumed() bool {
+// HasChunkedEvidence reports whether there is any evidence for the time of ChunkedEventTime, although it may not suffice.
+func (e *Estimator) HasChunkedEvidence() bool {
 	return e.chunks.evidence > 0
 }
--- a/internal/forward/pace/pace.go
+++ b/internal/forward/pace/pace.go
@@ -39,8 +39,8 @@
 	overhead, tokenTime, eventTime time.Duration
 	// chunks is what is known about events during a prefill.
 	chunks chunks
-	// leastEvents is the time between two events at the fastest pace of the server.
-	leastEvents leastEvents
+	// fastestEvent is the time between two events at the fastest pace of the server.
+	fastestEvent fastestEvent
 	// statements are the latest ones of the slowness in percent, and statedAt is when the last one was made.
 	statements []int
 	statedAt   time.Time
@@ -75,7 +75,7 @@
 // ObserveEvent records the time between two events of a stream in which the server prefilled no prompt.
 func (e *Estimator) ObserveEvent(now time.Time, took time.Duration) {
 	e.eventTime = average(e.eventTime, e.normalize(now, took))
-	e.leastEvents.observe(now, took)
+	e.fastestEvent.observe(now, took)
 }
 
 // Slowness returns how long work is expected to take now, in percent of what is usual for servers of its kind.
--- a/internal/forward/quarantine/monitor.go
+++ b/internal/forward/quarantine/monitor.go
@@ -179,8 +179,8 @@
 	return changed
 }
 
-// Check returns the reason why a request with the subjects that waits beside the server is not to be sent; false if it may be. It counts only
-// holds that began within settleTime: an entry that admits a request later knows of the hold, and the request may be its trial.
+// Check returns the reason why a request with the subjects that waits at the agent is not to be sent to the server; false if it may be sent. Only
+// holds that began within settleTime are a reason: entries know of older ones, and admit a request nevertheless only as a trial.
 func (m *Monitor) Check(now time.Time, subjects []string) (Refusal, bool) {
 	for _, id := range subjects {
 		if hold, ok := m.holds[id]; ok && !m.released(&hold) && now.Sub(hold.Since) <= settleTime {
--- a/internal/forward/schedule/chunk_test.go
+++ b/internal/forward/schedule/chunk_test.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	// chunkStep is the time of a step that prefills nothing, and chunkTokensPerMS the number of prompt tokens prefilled in a millisecond.
+	// chunkStep is the time of a step that prefills nothing, chunkTokensPerMS the number of prompt tokens prefilled in a millisecond, and chunkUsual
+	// the slowness of a server that is as fast as usual.
 	chunkStep        = 12 * time.Millisecond
 	chunkTokensPerMS = 19
 	chunkUsual       = 100
 )
 
-// chunkServer is a model server in steps: each prefills at most one chunk of a prompt and then makes one token of each stream.
+// chunkServer simulates a model server in steps: each prefills at most one chunk of a prompt and then makes one token of each stream.
 type chunkServer struct {
 	chunk int64
 	// stepsPerEvent is the number of tokens in an event.
@@ -31,9 +32,10 @@
 	// now is the time of the server, and seen that of the last event at the agent.
 	now, seen time.Time
 	scheduler *schedule.Scheduler
-	// rng draws by how much later the agent sees the events of a step; nil for not at all.
+	// rng draws the delays after which the agent sees the events of a step; nil if it sees them at once.
 	rng *rand.Rand
-	// streams run, and the number of tokens since the last event is that of steps and index.
+	// streams are the streams that run. Tokens are made in steps, which are counted; the stream at index i has an event in each step for which
+	// steps + i is a multiple of stepsPerEvent.
 	streams []*schedule.Request
 	steps   int
 }
@@ -110,20 +112,28 @@
 	c.scheduler.Remove(prompt)
 }
 
-// startsAtOnce reports whether a prompt is started that is too large for any expected rate of prefill, although a stream that is on time has just
-// had an event.
-func (c *chunkServer) startsAtOnce(t *testing.T) bool {
+// addLargePrompt starts a stream that is on time and has just had an event, and adds a prompt that is too large for any expected rate of prefill.
+func (c *chunkServer) addLargePrompt(t *testing.T, due time.Duration) (stream, prompt *schedule.Request) {
 	t.Helper()
 
-	stream := request("a1", c.now)
+	stream = request("a1", c.now)
 	stream.InputTokens, stream.GapTarget, stream.Due, stream.Expires = 10, 300*time.Millisecond, c.now.Add(time.Second), c.now.Add(time.Millisecond)
 	c.scheduler.Add(stream)
 	assert.Equal(t, len(started(c.scheduler.Dispatch(c.now))), 1)
 	c.scheduler.ObserveEvent(c.now, stream)
 
-	prompt := request("a1", c.now)
-	prompt.InputTokens, prompt.Due, prompt.Expires = 40_000, c.now.Add(time.Minute), c.now.Add(time.Minute)
+	prompt = request("a1", c.now)
+	prompt.InputTokens, prompt.Due, prompt.Expires = 40_000, c.now.Add(due), c.now.Add(time.Minute)
 	c.scheduler.Add(prompt)
+
+	return stream, prompt
+}
+
+// startsAtOnce reports whether a large prompt is started although a stream would be late if the server made no events during the prefill.
+func (c *chunkServer) startsAtOnce(t *testing.T) bool {
+	t.Helper()
+
+	stream, prompt := c.addLargePrompt(t, time.Minute)
 	actions := started(c.scheduler.Dispatch(c.now))
 	c.scheduler.Remove(stream)
 	c.scheduler.Remove(prompt)
@@ -135,15 +145,7 @@
 func (c *chunkServer) startsInTime(t *testing.T) bool {
 	t.Helper()
 
-	stream := request("a1", c.now)
-	stream.InputTokens, stream.GapTarget, stream.Due, stream.Expires = 10, 300*time.Millisecond, c.now.Add(time.Second), c.now.Add(time.Millisecond)
-	c.scheduler.Add(stream)
-	assert.Equal(t, len(started(c.scheduler.Dispatch(c.now))), 1)
-	c.scheduler.ObserveEvent(c.now, stream)
-
-	prompt := request("a1", c.now)
-	prompt.InputTokens, prompt.Due, prompt.Expires = 40_000, c.now.Add(5*time.Second), c.now.Add(time.Minute)
-	c.scheduler.Add(prompt)
+	stream, prompt := c.addLargePrompt(t, 5*time.Second)
 
 	actions := 0
 	for actions == 0 && c.now.Before(prompt.Due) {
@@ -171,8 +173,8 @@
 	return &c
 }
 
-// moments returns the slowness of a server that is slow for half a second in each period.
-func moments(period time.Duration) func(since time.Duration) int {
+// slowMoments returns the slowness of a server that is slow for half a second in each period.
+func slowMoments(period time.Duration) func(since time.Duration) int {
 	return func(since time.Duration) int {
 		if since%period < 500*time.Millisecond {
 			return 250
@@ -196,7 +198,7 @@
 		"two prompts, small chunks":      {server: chunkServer{chunk: 256}, streams: 4, prompts: []int64{3000, 3000}},
 		"three steps for each event":     {server: chunkServer{chunk: 1024, stepsPerEvent: 3}, streams: 4, prompts: []int64{6000}},
 		"after many small prompts":       {server: chunkServer{chunk: 1024}, streams: 4, prompts: []int64{400, 400, 900, 400, 400, 900, 6000}},
-		"after a moment of slowness":     {server: chunkServer{chunk: 1024, slowness: moments(10 * time.Second)}, streams: 4, prompts: []int64{9600, 9600}},
+		"after a moment of slowness":     {server: chunkServer{chunk: 1024, slowness: slowMoments(10 * time.Second)}, streams: 4, prompts: []int64{9600, 9600}},
 		"two prompts, slow for good":     {server: chunkServer{chunk: 768, slowness: func(time.Duration) int { return 130 }}, streams: 4, prompts: []int64{9600, 9600}},
 		"two prompts, always twice slow": {server: chunkServer{chunk: 256, slowness: func(time.Duration) int { return 200 }}, streams: 4, prompts: []int64{4000, 4000}},
 	}
@@ -255,10 +257,10 @@
 		"whole prompts":                    {chunk: 1 << 20},
 		"2048, three steps for each event": {chunk: 2048, stepsPerEvent: 3},
 		"4096, three steps for each event": {chunk: 4096, stepsPerEvent: 3},
-		"2048, moments":                    {chunk: 2048, slowness: moments(3300 * time.Millisecond)},
-		"2048, frequent moments":           {chunk: 2048, slowness: moments(1100 * time.Millisecond)},
-		"4096, moments":                    {chunk: 4096, slowness: moments(3300 * time.Millisecond)},
-		"whole prompts, moments":           {chunk: 1 << 20, slowness: moments(1700 * time.Millisecond)},
+		"2048, moments":                    {chunk: 2048, slowness: slowMoments(3300 * time.Millisecond)},
+		"2048, frequent moments":           {chunk: 2048, slowness: slowMoments(1100 * time.Millisecond)},
+		"4096, moments":                    {chunk: 4096, slowness: slowMoments(3300 * time.Millisecond)},
+		"whole prompts, moments":           {chunk: 1 << 20, slowness: slowMoments(1700 * time.Millisecond)},
 		"whole prompts, twice as slow":     {chunk: 1 << 20, slowness: func(time.Duration) int { return 200 }},
 		"prompts wait at the server":       {chunk: 1 << 20, delay: 300 * time.Millisecond},
 		"2048, prompts wait at the server": {chunk: 2048, delay: 120 * time.Millisecond},
@@ -311,7 +313,7 @@
 			for seed := range uint64(seeds) {
 				rng := rand.New(rand.NewPCG(seed, 1))
 				period := time.Second + time.Duration(rng.IntN(4000))*time.Millisecond
-				server := newChunkServer(chunkServer{chunk: c.chunk, stepsPerEvent: 3 + rng.IntN(2), slowness: moments(period), rng: rng}, 1+rng.IntN(16))
+				server := newChunkServer(chunkServer{chunk: c.chunk, stepsPerEvent: 3 + rng.IntN(2), slowness: slowMoments(period), rng: rng}, 1+rng.IntN(16))
 
 				for range prompts {
 					server.prompt(t, min(int64(200+1500*rng.ExpFloat64()), 12_000))
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -54,8 +54,8 @@
 	// pace estimates how fast the server works, and prefillEnd is when it last ended a prefill.
 	pace       pace.Estimator
 	prefillEnd time.Time
-	// lastPrefill is the last prefill that has ended; it is zero if other prompts were prefilled meanwhile. prefillAlone is true if the present
-	// prefill began without another one, and intervals are those between events of streams that have ended since.
+	// lastPrefill is the last prefill that has ended; it is zero if other prompts were prefilled meanwhile. prefillAlone is true if no other prompt
+	// was being prefilled when the present prefill began, and intervals are those between events of streams that have ended since.
 	lastPrefill  pace.PrefillSpan
 	prefillAlone bool
 	intervals    []streamInterval
--- a/internal/forward/schedule/stream.go
+++ b/internal/forward/schedule/stream.go
@@ -20,7 +20,7 @@
 	// ownUrgencyFactor keeps the weight that a request may make late below its own, so that it makes no stream of its own urgency late.
 	ownUrgencyFactor = 0.99
 	// maxLateHarm bounds the weight of the streams that a request past its due time may make late, by its own weight, unless its kind or size was
-	// served too seldom. Without it, each large prompt makes all streams of a busy server late to be late itself.
+	// served too seldom. Without it, each large prompt that is late already makes all streams of a busy server late too.
 	maxLateHarm = 8
 	// stepsPerEvent is the least number of steps of a server in which it makes the tokens of an event.
 	stepsPerEvent = 3
@@ -126,7 +126,7 @@
 type harm struct {
 	// running is the weight of all of them, and now that of those that are late if the prefill begins now.
 	running, now float64
-	// assumed is the part of now that is late even if the server makes events during the prefill as the little evidence suggests.
+	// assumed is the part of now that is late also if ChunkedEventTime, for which the evidence may not suffice, is right.
 	assumed float64
 	// always is true if some are late whenever it begins.
 	always bool
@@ -146,7 +146,7 @@
 	if s.policy().FixedHarm {
 		allowed = fixedHarm(now, request, expected.running)
 	} else {
-		if isLastCall(now, request, prefill) {
+		if mustStartNow(now, request, prefill) {
 			// The prompt would be late otherwise, and its prefill shows whether the assumption holds.
 			expected.now = expected.assumed
 		}
@@ -195,15 +195,15 @@
 		return running * min(1-float64(left)/float64(startReserve), 1)
 	}
 
-	if isLastCall(now, request, prefill) {
+	if mustStartNow(now, request, prefill) {
 		return weight(request.Urgency) * ownUrgencyFactor
 	}
 
 	return 0
 }
 
-// isLastCall reports whether the request must start now to be on time.
-func isLastCall(now time.Time, request *Request, prefill time.Duration) bool {
+// mustStartNow reports whether the request must start now to be on time.
+func mustStartNow(now time.Time, request *Request, prefill time.Duration) bool {
 	spare := request.Due.Sub(now) - prefill
 
 	return spare >= 0 && spare < heldPeriod
@@ -238,7 +238,7 @@
 		if s.expectedGap(now, request, event)+prefill > request.GapTarget {
 			expected.now += weight(request.Urgency)
 
-			if !s.pace.IsChunkedAssumed() || chunked > request.GapTarget {
+			if !s.pace.HasChunkedEvidence() || chunked > request.GapTarget {
 				expected.assumed += weight(request.Urgency)
 			}
 		}
--- a/internal/measure/play/entry.go
+++ b/internal/measure/play/entry.go
@@ -53,6 +53,7 @@
 	servers[index].add(c, c.schedulerRequest(sim.clock.now))
 }
 
+// recordSent adds a request to the state of a server, as link.Links does.
 func (e *entry) recordSent(s *server, c *clientRequest) {
 	state := e.states[s]
 	state.Sent++
@@ -92,10 +93,9 @@
 		IdleAdapterSlots: state.IdleAdapterSlots,
 	}
 
-	name := link.Adapter{Model: c.adapter.Model, Name: c.adapter.Name}
-	if _, loaded := state.Loaded[name]; loaded {
+	if _, loaded := state.Loaded[c.adapter]; loaded {
 		candidate.Residency = place.Present
-	} else if state.Loading[name] {
+	} else if state.Loading[c.adapter] {
 		candidate.Residency = place.Loading
 	}
 
@@ -119,12 +119,10 @@
 	}
 
 	for _, held := range from.Adapters {
-		name := link.Adapter{Model: held.Adapter.Model, Name: held.Adapter.Name}
-
 		if held.Loading {
-			state.Loading[name] = true
+			state.Loading[held.Adapter] = true
 		} else {
-			state.Loaded[name] = held.Version
+			state.Loaded[held.Adapter] = held.Version
 		}
 	}
 
--- a/internal/program/hosted/connections.go
+++ b/internal/program/hosted/connections.go
@@ -38,8 +38,8 @@
 	probeHeadBytes = 16 << 10
 	// probeTimeout bounds the time to write the response to a probe.
 	probeTimeout = 10 * time.Second
-	// headroomShare is the part of the budget for messages, as a divisor, that is kept at most for the message that was begun first.
-	headroomShare = 2
+	// headroomDivisor limits what is kept for the message that was begun first to a part of the budget for messages: one in headroomDivisor.
+	headroomDivisor = 2
 	// refusalLogPeriod is the time between two lines about refused connections of one port for one reason.
 	refusalLogPeriod = time.Second
 )
@@ -86,7 +86,7 @@
 // limitMessages bounds the connections of entries to an agent.
 func (p *process) limitMessages(listener net.Listener) *connlimit.Listener {
 	budget := p.requestMemory()
-	budget.Headroom = min(connlimit.MessageMemory(conn.MaxMessageBytes), budget.Limit/headroomShare)
+	budget.Headroom = min(connlimit.MessageMemory(conn.MaxMessageBytes), budget.Limit/headroomDivisor)
 
 	return &connlimit.Listener{
 		Listener: listener,
--- a/internal/program/hosted/duties.go
+++ b/internal/program/hosted/duties.go
@@ -48,15 +48,16 @@
 		d.scaler = &holder.Scaler{
 			Store: rows, Platform: cloud, Loads: server.ServiceLoads, Clock: freshness.Clock, Self: self, IsCandidate: server.Links.IsReader,
 			MinTenure: p.settings.Bounds.MinTenure, CallRate: p.settings.Cloud.CallRate, FirstStart: p.settings.FirstStart, Log: p.log, Metrics: p.metrics,
-			Candidates: func() int { return scalers(server.Links.KnownEntries(), server.Links.ConnectedCount()) },
+			Candidates: func() int { return scalerCount(server.Links.KnownEntries(), server.Links.ConnectedCount()) },
 		}
 	}
 
 	return d
 }
 
-// scalers returns how many entries may order servers at the same time: the readers, or all entries if no agent is connected to choose these.
-func scalers(entries, agents int) int {
+// scalerCount returns how many entries may order servers at the same time: the readers, or all entries if no agent is connected to choose these.
+// While the number of entries is not known, it is taken to suffice for the most readers.
+func scalerCount(entries, agents int) int {
 	if agents == 0 {
 		return max(entries, 1)
 	}
--- a/internal/program/hosted/duties_test.go
+++ b/internal/program/hosted/duties_test.go
@@ -8,7 +8,7 @@
 
 // Guards against a part of the rate of calls that is too large, so that entries together exceed it, and against one that shrinks with entries that
 // order nothing.
-func TestScalers(t *testing.T) {
+func TestScalerCount(t *testing.T) {
 	cases := map[string]struct {
 		entries, agents, want int
 	}{
@@ -20,6 +20,6 @@
 	}
 
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) { assert.Equal(t, scalers(c.entries, c.agents), c.want) })
+		t.Run(name, func(t *testing.T) { assert.Equal(t, scalerCount(c.entries, c.agents), c.want) })
 	}
 }
--- a/internal/wire/conn/pool.go
+++ b/internal/wire/conn/pool.go
@@ -33,7 +33,7 @@
 // ErrDial marks the errors of failed dials: no connection was established, so nothing was sent.
 var ErrDial = errors.New("no connection")
 
-// ErrNotSent marks the errors of messages of which the last part was not written: the peer has not received them.
+// ErrNotSent marks the errors of messages that were not written to their end: the peer has not received the whole message.
 var ErrNotSent = errors.New("message not sent")
 
 // Dialer opens a connection to an address.
@@ -73,9 +73,9 @@
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrDial)
 	}
 
-	transport := &transport{Conn: raw}
+	counted := &transport{Conn: raw}
 
-	return &client{Conn: drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: ManagerOptions()}), transport: transport}, nil
+	return &client{Conn: drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: ManagerOptions()}), transport: counted}, nil
 }
 
 // ManagerOptions returns the drpc options that both clients and servers use.
--- a/internal/wire/conn/transport.go
+++ b/internal/wire/conn/transport.go
@@ -30,7 +30,7 @@
 	transport *transport
 }
 
-// NewStream implements drpc.Conn.
+// NewStream implements drpc.Conn. If it fails, no message was sent yet.
 func (c *client) NewStream(ctx context.Context, rpc string, encoding drpc.Encoding) (drpc.Stream, error) {
 	opened, err := c.Conn.NewStream(ctx, rpc, encoding)
 	if err != nil {
--- a/internal/wire/connlimit/listener.go
+++ b/internal/wire/connlimit/listener.go
@@ -192,6 +192,7 @@
 		return ""
 	}
 
+	// What was refused grows no more, but keeps its memory until its connection is closed.
 	reservation.Settle()
 
 	return NoMemory
