Take no memory for the rest of a message that is refused

Cause: while the rest of a refused message was dropped, each of its frames was reserved again. If memory had become free meanwhile, the message took it, and possibly the headroom, for bytes that nobody keeps, until its connection was closed up to 2.5 s later. If the connection was closed while the rest was dropped, after the release of its memory, what the next frame took was never released, and the headroom stayed with a connection that no longer exists until the process ended.

Change: frames of a message that is refused are counted and reserve nothing.

Measured: TestDroppedRestTakesNoMemory fails in all 4 cases without the change (16 to 80 KB are reserved for a frame of 64 KB) and passes with it. The tests of internal/wire/... pass, those of connlimit also with -race (once each). Not shown at a real connection: a close at the moment at which a frame is dropped.

--- a/internal/wire/connlimit/frame.go
+++ b/internal/wire/connlimit/frame.go
@@ -137,8 +137,13 @@
 	}
 
 	f.size += int64(f.value)
-	f.held = max(f.held, f.size)
-	reason := reserve(&f.reservation, MessageMemory(f.held))
+	reason := Reason("")
+
+	// What is dropped takes no memory. The connection may also have been closed meanwhile, so that nothing would release it.
+	if !f.rest {
+		f.held = max(f.held, f.size)
+		reason = reserve(&f.reservation, MessageMemory(f.held))
+	}
 
 	if f.value == 0 {
 		f.end()
--- a/internal/wire/connlimit/frame_test.go
+++ b/internal/wire/connlimit/frame_test.go
@@ -161,3 +161,45 @@
 		})
 	}
 }
+
+// Guards against a refused message that takes memory while its rest is dropped: of the headroom, so that a message which could be accepted is refused,
+// and forever, if its connection is closed meanwhile.
+func TestDroppedRestTakesNoMemory(t *testing.T) {
+	const part = 64 << 10
+
+	cases := map[string]struct {
+		headroom int64
+		closed   bool
+	}{
+		"no headroom":                    {},
+		"no headroom, connection closed": {closed: true},
+		"headroom":                       {headroom: 8 * part},
+		"headroom, connection closed":    {headroom: 8 * part, closed: true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			budget := &memory.Budget{Limit: 16 * part, Headroom: c.headroom}
+			other, refused, next := NewFrame(budget), NewFrame(budget), NewFrame(budget)
+
+			assert.Equal(t, takeAll(other, strings.Repeat(frame(1, part, false), 12), 4096), Reason(""))
+			assert.Equal(t, takeAll(refused, strings.Repeat(frame(1, part, false), 8), 4096), NoMemory)
+			assert.Equal(t, takeAll(other, frame(1, 0, true), 4096), Reason(""))
+			other.release()
+
+			if c.closed {
+				refused.release()
+			}
+
+			held := budget.Used()
+
+			refused.drop([]byte(frame(1, part, false)))
+			assert.Equal(t, budget.Used(), held)
+			assert.Equal(t, takeAll(next, strings.Repeat(frame(1, part, false), 9), 4096), Reason(""))
+
+			next.release()
+			refused.release()
+			assert.Equal(t, budget.Used(), int64(0))
+		})
+	}
+}
