Drop released holds to record new ones at an agent

Cause: an agent keeps at most 256 holds and ignores new ones beyond it, but released ones stay until 10 minutes after their trial was due, or longer. After 256 holds, for instance of the adapters of a broken upload that was mended, it does not record a new one: requests that wait there are sent although something of them is held, and entries that start later do not learn of the hold.

Change: the released hold whose trial was due first makes room. Holds that are not released stay, as before.

Measured: TestReleasedHoldsLeaveRoom fails without the change in the case of released holds: the new hold is not recorded and refuses nothing. The tests of internal/forward/quarantine and internal/forward/agent pass (once). Not measured: how often 256 holds occur.

--- a/internal/forward/quarantine/monitor.go
+++ b/internal/forward/quarantine/monitor.go
@@ -212,7 +212,7 @@
 	known, ok := m.holds[hold.Subject]
 
 	switch {
-	case m.released(&hold), !ok && len(m.holds) >= maxHolds:
+	case m.released(&hold), !ok && !m.makeRoom():
 		return false
 	case m.holds == nil:
 		m.holds = map[string]Hold{}
@@ -225,6 +225,25 @@
 	return !ok || m.released(&known)
 }
 
+// makeRoom drops the released hold whose trial was due first if there are maxHolds, and reports whether there is room for one more.
+func (m *Monitor) makeRoom() bool {
+	if len(m.holds) < maxHolds {
+		return true
+	}
+
+	first, found := Hold{}, false
+
+	for _, hold := range m.holds {
+		if m.released(&hold) && (!found || hold.Until.Before(first.Until)) {
+			first, found = hold, true
+		}
+	}
+
+	delete(m.holds, first.Subject)
+
+	return found
+}
+
 // RecordSound records what an entry knows of beginnings, and reports whether it is news about a crash or a hold.
 func (m *Monitor) RecordSound(learned []Sound) bool {
 	changed := false
--- a/internal/forward/quarantine/monitor_test.go
+++ b/internal/forward/quarantine/monitor_test.go
@@ -194,3 +194,33 @@
 		})
 	}
 }
+
+// Guards against a hold that an agent does not record, so that requests which wait there are sent, because it keeps too many that were released.
+func TestReleasedHoldsLeaveRoom(t *testing.T) {
+	cases := map[string]struct{ released, want bool }{
+		"held":     {},
+		"released": {released: true, want: true},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var monitor quarantine.Monitor
+
+			for i := range 300 {
+				monitor.RecordHolds(at(100), []quarantine.Hold{{Subject: fmt.Sprint(i), Since: at(100), Until: at(60_000), Period: time.Minute}})
+			}
+
+			if c.released {
+				for i := range 300 {
+					monitor.RecordSound([]quarantine.Sound{{Subject: fmt.Sprint(i), At: at(1000)}})
+				}
+			}
+
+			hold := quarantine.Hold{Subject: "new", Since: at(2000), Until: at(60_000), Period: time.Minute}
+			assert.Equal(t, monitor.RecordHolds(at(2000), []quarantine.Hold{hold}), c.want)
+
+			_, refused := monitor.Check(at(2100), []string{"new"})
+			assert.Equal(t, refused, c.want)
+		})
+	}
+}
