Recognize the refusal of a message while the end of the stream is sent

Cause: an agent without memory for a message reads it to its end, refuses it with CodeNotRun and closes its writing side. If the entry receives both before it has written the end of the stream, drpc has closed the connection, and the send fails with "context canceled" in place of the refusal. The outcome then counted as unknown: a request of a route that is not idempotent failed although it had not run, and others took a run from their attempts.

Change: if a send fails after the message was written, the error with which the peer has ended the stream is returned if it has a code. Whether a message counts as not sent is decided as before.

Not covered: a call that takes the connection from the pool between the refusal and its close fails with an unknown outcome.

--- a/internal/wire/conn/transport.go
+++ b/internal/wire/conn/transport.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
 )
 
 // transport is a connection that counts the bytes that were written.
@@ -56,9 +57,39 @@
 		return nil
 	}
 
-	if data, failed := encoding.Marshal(message); failed == nil && s.transport.written.Load()-before < int64(len(data)) {
+	data, failed := encoding.Marshal(message)
+
+	switch {
+	case failed != nil:
+		return err //nolint:wrapcheck // the error of drpc
+	case s.transport.written.Load()-before < int64(len(data)):
 		return errors.Mark(err, ErrNotSent)
+	default:
+		return s.reason(err)
+	}
+}
+
+// CloseSend implements drpc.Stream.
+func (s *stream) CloseSend() error {
+	if err := s.Stream.CloseSend(); err != nil {
+		return s.reason(err)
+	}
+
+	return nil
+}
+
+// reason returns the error with which the peer has ended the stream if it has a code, and otherwise that of a send which failed. A send fails with
+// another error if the peer refuses a message and closes the connection meanwhile.
+func (s *stream) reason(sendError error) error {
+	receiver, ok := s.Stream.(interface{ RawRecv() ([]byte, error) })
+	if !ok {
+		return sendError
+	}
+
+	// The stream ends with a failed send, so that this does not wait for a message.
+	if _, err := receiver.RawRecv(); drpcerr.Code(err) != 0 {
+		return err //nolint:wrapcheck // the error of drpc
 	}
 
-	return err //nolint:wrapcheck // the error of drpc
+	return sendError
 }
--- a/internal/wire/conn/transport_test.go
+++ b/internal/wire/conn/transport_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/conn"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
@@ -56,3 +59,90 @@
 		})
 	}
 }
+
+// slowConn is a connection that delays small writes, as that of the end of a stream after a large message.
+type slowConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *slowConn) Write(data []byte) (int, error) {
+	if len(data) < 64 {
+		time.Sleep(c.delay)
+	}
+
+	return c.Conn.Write(data)
+}
+
+// refuseMessage reads a message, refuses it with a code, and closes the writing side, as connlimit does.
+func refuseMessage(listener net.Listener, code uint64) {
+	server, err := listener.Accept()
+	if err != nil {
+		return
+	}
+
+	defer func() { _ = server.Close() }()
+
+	reader := drpcwire.NewReaderWithOptions(server, conn.ManagerOptions().Reader)
+
+	for {
+		packet, err := reader.ReadPacket()
+		if err != nil {
+			return
+		}
+
+		if packet.Kind != drpcwire.KindMessage {
+			continue
+		}
+
+		refusal := drpcwire.MarshalError(drpcerr.WithCode(errors.New("refused"), code))
+		id := drpcwire.ID{Stream: packet.ID.Stream, Message: 1 << 40}
+		_, _ = server.Write(drpcwire.AppendFrame(nil, drpcwire.Frame{Data: refusal, ID: id, Kind: drpcwire.KindError, Done: true}))
+
+		if closer, ok := server.(*net.TCPConn); ok {
+			_ = closer.CloseWrite()
+		}
+
+		_, _ = io.Copy(io.Discard, server)
+
+		return
+	}
+}
+
+// Guards against a refused request whose outcome counts as unknown, because the refusal and the end of the connection arrive while the end of the
+// stream is being sent.
+func TestRefusalWhileTheStreamIsSent(t *testing.T) {
+	const code = 7614
+
+	cases := map[string]struct{ delay time.Duration }{
+		"the refusal arrives later":  {},
+		"the refusal arrives before": {delay: 50 * time.Millisecond},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+
+			defer func() { _ = listener.Close() }()
+
+			pool := conn.New(func(_ context.Context, address string) (net.Conn, error) {
+				client, err := net.Dial("tcp", address)
+
+				return &slowConn{Conn: client, delay: c.delay}, err
+			})
+
+			go refuseMessage(listener, code)
+
+			client := relay.NewDRPCRelayClient(pool.Get(listener.Addr().String()))
+
+			stream, err := client.Exchange(t.Context(), &relay.Request{Body: make([]byte, 1<<20)})
+			if err == nil {
+				_, err = stream.Recv()
+			}
+
+			assert.Equal(t, drpcerr.Code(err), uint64(code), "%v", err)
+			assert.NilError(t, pool.Close())
+		})
+	}
+}
