Send large requests to agents on connections of their own

Cause (found in a review): an agent accounts for the buffer of a large message as long as its connection is open, and entries keep connections for 30 s. After 4 messages of 4 MB from four entries, all finished, the budget of 23 MB was used and the next large ones were refused.

Change: a message above 48 KB goes over a connection that is closed afterwards. TestIdleConnectionsLeaveTheBudget (refused from the fifth message on with kept connections) and TestConnectionsOfLargeMessagesAreNotKept pass.

--- a/internal/forward/entry/send.go
+++ b/internal/forward/entry/send.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
@@ -98,7 +100,14 @@
 
 	e.Links.RecordSent(server.ID, j.urgency, j.request.PromptTokens)
 
-	stream, err := relay.NewDRPCRelayClient(e.Pool.Get(e.Links.Address(server))).Exchange(ctx, request)
+	agent, release, err := e.connectAgent(ctx, e.Links.Address(server), proto.Size(request))
+	if err != nil {
+		return brokenStreamOutcome(ctx, err)
+	}
+
+	defer release()
+
+	stream, err := relay.NewDRPCRelayClient(agent).Exchange(ctx, request)
 	if err != nil {
 		return brokenStreamOutcome(ctx, err)
 	}
@@ -129,6 +138,21 @@
 	}
 }
 
+// connectAgent returns a connection to an agent for a message of a size in bytes, and a function to call after its use. A large message gets a
+// connection of its own: the buffers that agents keep for idle connections would use up their memory for messages.
+func (e *Entry) connectAgent(ctx context.Context, address string, size int) (drpc.Conn, func(), error) {
+	if size <= conn.MaxPooledBytes {
+		return e.Pool.Get(address), func() {}, nil
+	}
+
+	opened, err := e.Pool.Open(ctx, address)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "open a connection for a large message")
+	}
+
+	return opened, func() { _ = opened.Close() }, nil
+}
+
 // brokenStreamOutcome returns the outcome of a request whose stream to the agent ended before an outcome was received: the request may
 // have run, unless no connection was made, the agent has not read all of the request, or its end was not written and the request was not given up
 // meanwhile.
--- a/internal/wire/conn/pool.go
+++ b/internal/wire/conn/pool.go
@@ -24,6 +24,9 @@
 	dialTimeout = time.Second
 	// MaxMessageBytes is the maximum size of a message: a request body of 4 MB, the largest that a client may send, with its headers.
 	MaxMessageBytes = 5 << 20
+	// MaxPooledBytes is the maximum size of a message on a connection of the pool. The receiver keeps the buffer of a larger one as long as the
+	// connection is open, also while it is idle.
+	MaxPooledBytes = 48 << 10
 	// keptBufferBytes is the size of the buffer that an idle connection keeps.
 	keptBufferBytes = 64 << 10
 	// cancelGrace is how long a canceled stream may take to finish its current send before its connection is closed.
@@ -62,6 +65,11 @@
 	return p.pool.Get(context.Background(), address, p.connect)
 }
 
+// Open dials a connection to the address for one large message. The caller closes it.
+func (p *Pool) Open(ctx context.Context, address string) (drpc.Conn, error) {
+	return p.connect(ctx, address)
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() error {
 	return errors.Wrap(p.pool.Close(), "close idle connections")
