Show a tenant that gets twice its allotment from two holders of its bucket

One entry and one model server are cut off from the store together; afterwards the entry lacks the model server, which is listed, and takes tokens from another agent than the other entry does.

--- a/review/lab-2/cluster.go
+++ b/review/lab-2/cluster.go
@@ -49,6 +49,8 @@
 	Store *Store
 	// Trouble is false if the case runs without its disruption.
 	Trouble bool
+	// Rate and Burst are the allotment of the tenant in tokens, 0 for none, and PlainTokens is the cost of a request that states no count.
+	Rate, Burst, PlainTokens int
 
 	directory string
 	subnet    string
--- a/review/lab-2/manifest.go
+++ b/review/lab-2/manifest.go
@@ -30,7 +30,7 @@
 			}},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "acme", "apiKeys": keys, "unit": "token_count", "plainTokens": 200, "ratePerS": 0, "burst": 0}},
+		"tenants": []any{map[string]any{"name": "acme", "apiKeys": keys, "unit": "token_count", "plainTokens": max(c.PlainTokens, 1), "ratePerS": c.Rate, "burst": c.Burst}},
 	})
 	c.Record("manifest %d confirmed, keys %v", version, keys)
 }
