--- a/review/lab-2/cluster.go
+++ b/review/lab-2/cluster.go
@@ -130,7 +130,7 @@
 
 	for _, p := range processes {
 		p.Signal(syscall.SIGKILL)
-		p.wait(time.Second)
+		p.Wait(time.Second)
 	}
 
 	c.release()
@@ -298,10 +298,11 @@
 // Kill ends the process with SIGKILL and waits for its end.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
-	p.wait(time.Second)
+	p.Wait(time.Second)
 }
 
-func (p *Process) wait(limit time.Duration) {
+// Wait waits for the end of the process, for a while.
+func (p *Process) Wait(limit time.Duration) {
 	select {
 	case <-p.exited:
 	case <-time.After(limit):
