Show a key that was taken away and works again when all processes start beside a restore

All entries and agents are killed while the store is away and comes back from a copy; until the manifest is written again, requests with the key run.

--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -19,6 +19,8 @@
 	started time.Time
 	changes []change
 	waiters chan struct{}
+	// era counts how often the store came back from a copy.
+	era int
 	// silent holds the names of the callers that get no answer; the name "" stands for all.
 	silent map[string]chan struct{}
 }
@@ -69,6 +71,23 @@
 	s.waiters = make(chan struct{})
 }
 
+// Copy returns the version of a copy of the store as it is now.
+func (s *Store) Copy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.changes)
+}
+
+// BringBack has the store come back from a copy: what was written since is gone, and its versions are given out again.
+func (s *Store) BringBack(version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.changes = s.changes[:version:version]
+	s.era++
+}
+
 // Silence keeps a caller without answers, or all if the name is empty, until Restore.
 func (s *Store) Silence(caller string) {
 	s.mu.Lock()
@@ -106,6 +125,14 @@
 		case "/rows-feed":
 			after, _ := strconv.Atoi(query.Get("after"))
 			wait, _ := strconv.Atoi(query.Get("waitMs"))
+
+			if after > s.Copy() {
+				s.head(w)
+				w.WriteHeader(http.StatusGone)
+
+				return
+			}
+
 			rows, newest := s.feed(r.Context(), query.Get("table"), after, time.Duration(wait)*time.Millisecond)
 
 			// A partition that began meanwhile keeps the answer back.
@@ -208,8 +235,16 @@
 	return wireRow{Table: c.table, Key: c.key, Value: base64.StdEncoding.EncodeToString(c.value), RowVersion: c.version, Tombstone: c.tombstone}
 }
 
-func (s *Store) answer(w http.ResponseWriter, rows []wireRow, newest int) {
+// head writes the headers that all answers have.
+func (s *Store) head(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "0")
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+}
+
+func (s *Store) answer(w http.ResponseWriter, rows []wireRow, newest int) {
+	s.head(w)
 	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "hasMore": false, "rowVersion": newest, "nowMs": time.Since(s.started).Milliseconds()})
 }
