Apply the changes of a response of the store in their order

Cause: the watcher applied all listed rows of a response first and all removals after them. A server whose row was removed and written again while the entry could not read was therefore removed for good. Ruled out: the decoding of rows, which keeps their order, and pages of a whole read, which take the version of the first page. The stand-in of the store returned only the newest change of a row, so that no test could see both in one response.

Change: the fleet takes a list of changes and applies them in order under one lock, so that a server that is back never looks removed for a moment.

--- a/internal/forward/fleet/fleet.go
+++ b/internal/forward/fleet/fleet.go
@@ -67,44 +67,91 @@
 	syncedAt time.Time
 }
 
-// Put adds or updates servers, and reports whether that changed the list.
+// Put adds or updates servers of a list that was read, and reports whether that changed the list.
 func (f *Fleet) Put(servers ...Server) bool {
+	now := time.Now()
+
+	f.mu.Lock()
+	f.markSynced(now)
+	f.mu.Unlock()
+
+	changes := make([]Change, len(servers))
+	for i, server := range servers {
+		changes[i] = Listed{Server: server}
+	}
+
+	return f.Update(now, changes...)
+}
+
+// Update applies changes of the list in their order, and reports whether any of them changed the list. Others see the list only after the last
+// one: a server that was removed and listed again in between does not look removed for a moment.
+func (f *Fleet) Update(now time.Time, changes ...Change) bool {
 	f.mu.Lock()
 
 	changed := false
 
+	for _, change := range changes {
+		switch c := change.(type) {
+		case Listed:
+			changed = f.put(now, c.Server) || changed
+		case Removed:
+			changed = f.remove(now, c) || changed
+		}
+	}
+
+	f.mu.Unlock()
+
+	if changed {
+		f.notify()
+	}
+
+	return changed
+}
+
+// put adds or updates a server, and reports whether that changed the list. The lock must be held.
+func (f *Fleet) put(now time.Time, server Server) bool {
 	if f.servers == nil {
 		f.servers = map[string]Server{}
 		f.removeAt = map[string]time.Time{}
 	}
 
-	now := time.Now()
+	before, listed := f.servers[server.ID]
+	_, removing := f.removeAt[server.ID]
 
-	for _, server := range servers {
-		_, removing := f.removeAt[server.ID]
-		changed = changed || removing || f.servers[server.ID] != server
+	if listed && before.Version != server.Version {
+		f.recordVersion(now, before)
+	}
 
-		if before, ok := f.servers[server.ID]; ok && before.Version != server.Version {
-			f.recordVersion(now, before)
-		}
+	f.recordEnd(now, server)
+	f.servers[server.ID] = server
+	delete(f.removeAt, server.ID)
+	delete(f.left, server.ID)
 
-		f.recordEnd(now, server)
-		f.servers[server.ID] = server
-		delete(f.removeAt, server.ID)
-		delete(f.left, server.ID)
-	}
+	f.markSynced(now)
 
+	return removing || before != server
+}
+
+// markSynced records that the list was read. The lock must be held.
+func (f *Fleet) markSynced(now time.Time) {
 	if !f.synced {
 		f.synced, f.syncedAt = true, now
 	}
+}
 
-	f.mu.Unlock()
+// remove removes a server that vanished from the list, and reports whether it was listed. The lock must be held.
+func (f *Fleet) remove(now time.Time, removed Removed) bool {
+	if _, listed := f.servers[removed.ID]; !listed {
+		return false
+	}
 
-	if changed {
-		f.notify()
+	if removed.At.After(now) {
+		f.removeAt[removed.ID] = removed.At
+	} else {
+		f.drop(now, removed.ID)
 	}
 
-	return changed
+	return true
 }
 
 // recordEnd records when a draining server ends, unless that is known. The lock must be held.
@@ -135,29 +182,6 @@
 	return at, known && f.servers[server.ID].StartedAt == server.StartedAt
 }
 
-// Remove removes a server that vanished from the list, at the given time unless it is listed again before. It reports whether
-// the server was listed.
-func (f *Fleet) Remove(now time.Time, id string, at time.Time) bool {
-	f.mu.Lock()
-
-	_, listed := f.servers[id]
-	if listed {
-		if at.After(now) {
-			f.removeAt[id] = at
-		} else {
-			f.drop(now, id)
-		}
-	}
-
-	f.mu.Unlock()
-
-	if listed {
-		f.notify()
-	}
-
-	return listed
-}
-
 // drop removes a server and remembers it. The lock must be held.
 func (f *Fleet) drop(now time.Time, id string) {
 	maps.DeleteFunc(f.left, func(_ string, old departure) bool { return now.Sub(old.at) > leftRetention })
@@ -195,17 +219,17 @@
 	return listed || left
 }
 
-// Retain removes all servers except the listed ones, and reports whether there were others.
+// Retain removes all servers except the listed ones at the given time, and reports whether there were others.
 func (f *Fleet) Retain(now time.Time, listed map[string]bool, at time.Time) bool {
-	changed := false
+	var removals []Change
 
 	for _, server := range f.All() {
-		if !listed[server.ID] && f.Remove(now, server.ID, at) {
-			changed = true
+		if !listed[server.ID] {
+			removals = append(removals, Removed{ID: server.ID, At: at})
 		}
 	}
 
-	return changed
+	return f.Update(now, removals...)
 }
 
 // Evacuate sets the evacuations by failure domain. The map must not be changed afterwards.
--- a/internal/forward/fleet/fleet_test.go
+++ b/internal/forward/fleet/fleet_test.go
@@ -25,11 +25,11 @@
 			f.Evacuate(map[string]fleet.Evacuation{"d1": {}})
 			f.Evacuate(nil)
 		}, 0, 2},
-		"removed":         {func(f *fleet.Fleet) { f.Remove(now, "a", now) }, 0, 1},
-		"removal pending": {func(f *fleet.Fleet) { f.Remove(now, "a", now.Add(2*time.Second)) }, time.Second, 2},
-		"removal due":     {func(f *fleet.Fleet) { f.Remove(now, "a", now.Add(2*time.Second)) }, 3 * time.Second, 1},
+		"removed":         {func(f *fleet.Fleet) { f.Update(now, fleet.Removed{ID: "a", At: now}) }, 0, 1},
+		"removal pending": {func(f *fleet.Fleet) { f.Update(now, fleet.Removed{ID: "a", At: now.Add(2 * time.Second)}) }, time.Second, 2},
+		"removal due":     {func(f *fleet.Fleet) { f.Update(now, fleet.Removed{ID: "a", At: now.Add(2 * time.Second)}) }, 3 * time.Second, 1},
 		"listed again": {func(f *fleet.Fleet) {
-			f.Remove(now, "a", now.Add(2*time.Second))
+			f.Update(now, fleet.Removed{ID: "a", At: now.Add(2 * time.Second)})
 			f.Put(fleet.Server{ID: "a", Service: "s", Domain: "d1"})
 		}, 3 * time.Second, 2},
 		"not in a full read": {func(f *fleet.Fleet) { f.Retain(now, map[string]bool{"b": true}, time.Time{}) }, 0, 1},
@@ -75,7 +75,7 @@
 		_, known = f.EndsAt(server)
 		assert.Assert(t, !known, "another process has taken the id")
 
-		f.Remove(time.Now(), "a", time.Now())
+		f.Update(time.Now(), fleet.Removed{ID: "a", At: time.Now()})
 
 		_, known = f.EndsAt(fleet.Server{ID: "a", StartedAt: 6})
 		assert.Assert(t, !known)
--- a/internal/forward/fleet/versions_test.go
+++ b/internal/forward/fleet/versions_test.go
@@ -69,5 +69,5 @@
 func putAndRemove(f *fleet.Fleet, server fleet.Server, listed time.Duration) {
 	f.Put(server)
 	time.Sleep(listed)
-	f.Remove(time.Now(), server.ID, time.Now())
+	f.Update(time.Now(), fleet.Removed{ID: server.ID, At: time.Now()})
 }
--- a/internal/forward/watch/restore.go
+++ b/internal/forward/watch/restore.go
@@ -2,24 +2,18 @@
 
 import "github.com/chestnutbeam/chestnutbeam/internal/forward/fleet"
 
-// dropOutdated returns the servers of a list that was read after the store was restored from a copy, without those that this process
-// knows to be outdated: a row that it has read before, of a server that has left since then. A row with another version was written
-// since the restore. A server that had begun to drain still does: it ends only with a new start.
-func dropOutdated(rows []ServerListed, servers *fleet.Fleet, seen seenVersions) []ServerListed {
-	kept := make([]ServerListed, 0, len(rows))
-
-	for _, row := range rows {
-		if servers.HasLeft(row.Server) && seen.has(row.Server.ID, row.Version) {
-			continue
-		}
-
-		known, ok := servers.Find(row.Server.ID)
-		if ok && known.StartedAt == row.Server.StartedAt {
-			row.Server.Draining = row.Server.Draining || known.Draining
-		}
+// isOutdated reports whether a row in a list that was read after the store was restored from a copy is known to be outdated: this process has
+// read it before, and the server has left since then. A row with another version was written since the restore.
+func isOutdated(row ServerListed, servers *fleet.Fleet, seen seenVersions) bool {
+	return servers.HasLeft(row.Server) && seen.has(row.Server.ID, row.Version)
+}
 
-		kept = append(kept, row)
+// keepDraining returns a listed server, which after a restore of the store still drains if it had begun to: draining ends only with a new start.
+func keepDraining(server fleet.Server, servers *fleet.Fleet, restored bool) fleet.Server {
+	known, ok := servers.Find(server.ID)
+	if restored && ok && known.StartedAt == server.StartedAt {
+		server.Draining = server.Draining || known.Draining
 	}
 
-	return kept
+	return server
 }
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -269,55 +269,46 @@
 	w.Fleet.Evacuate(w.evacuations.active)
 }
 
+// applyServers applies rows of the list of servers in their order: a server may be removed and listed again in one batch, or the reverse.
 func (w *Watcher) applyServers(now time.Time, batch Batch, full, restored bool) bool {
 	removeAt := w.removeAt(now)
 	if restored {
 		removeAt = now.Add(removalDelay)
 	}
 
-	changed := false
 	listed := map[string]bool{}
+	outdated := 0
 
-	for _, row := range w.currentServers(batch, restored) {
-		listed[row.Server.ID] = true
-		changed = w.Fleet.Put(row.Server) || changed
-	}
+	var changes []fleet.Change
 
 	for _, item := range batch.Items {
-		if removed, ok := item.(ServerRemoved); ok {
-			changed = w.Fleet.Remove(now, removed.ID, removeAt) || changed
+		switch i := item.(type) {
+		case ServerListed:
+			if restored && isOutdated(i, w.Fleet, w.seen) {
+				outdated++
+			} else {
+				listed[i.Server.ID] = true
+				changes = append(changes, fleet.Listed{Server: keepDraining(i.Server, w.Fleet, restored)})
+			}
+
+			w.seen.record(i.Server.ID, i.Version)
+		case ServerRemoved:
+			changes = append(changes, fleet.Removed{ID: i.ID, At: removeAt})
+		case ConfigChanged, EvacuationChanged, AdapterAnnounced, UnreadableRow:
 		}
 	}
 
+	changed := w.Fleet.Update(now, changes...)
+
 	if full {
 		changed = w.Fleet.Retain(now, listed, removeAt) || changed
 		w.seen.retain(w.Fleet.Remembers)
 	}
 
-	return changed
-}
-
-// currentServers returns the rows of servers in a batch, after a restore of the store without the outdated ones, and remembers their
-// versions.
-func (w *Watcher) currentServers(batch Batch, restored bool) []ServerListed {
-	var rows []ServerListed
-
-	for _, item := range batch.Items {
-		if row, ok := item.(ServerListed); ok {
-			rows = append(rows, row)
-		}
-	}
-
-	current := rows
 	if restored {
-		current = dropOutdated(rows, w.Fleet, w.seen)
-		w.Log.WithFields(logrus.Fields{"era": batch.Era, "previous": w.era, "listed": len(rows), "outdated": len(rows) - len(current)}).
+		w.Log.WithFields(logrus.Fields{"era": batch.Era, "previous": w.era, "listed": len(listed), "outdated": outdated}).
 			Info("servers listed after a restore of the store")
 	}
 
-	for _, row := range rows {
-		w.seen.record(row.Server.ID, row.Version)
-	}
-
-	return current
+	return changed
 }
