Publish a change of the list of servers although it changes nothing for the reader

Cause: an entry that watches the store for others published a new version of the list only if its own fleet had changed. The fleet is not the list: it leaves out rows that a copy of the store brings back and that this process knows to be outdated, and a read of the whole list shows nothing of what has changed and changed back meanwhile. Others, which made something else of the same rows, then took their list for confirmed.

Change: the watcher keeps what the rows state, apart from the fleet, and calls the topic changed if a row states something else, is new or is removed, or if the whole topic was read anew. Counting each row, as for the operator's topic, was ruled out: rows of model servers change about every second with their adapters, and every entry would read each of them (a test pins that these are no change). A whole read costs one call of each entry after the history was lost.

The handling of both topics has files of its own.

--- a/internal/forward/progress/follower.go
+++ b/internal/forward/progress/follower.go
@@ -63,7 +63,8 @@
 type Read struct {
 	// Newest is the newest version of the store.
 	Newest Mark
-	// Changed is true if the topic has changed since the previous read.
+	// Changed is true if the topic may have changed since the previous read, whether or not that changes what this entry makes of it: others
+	// may not have made the same of it.
 	Changed bool
 	// Requested is when the read was requested, as a reading of freshness.Clock.
 	Requested time.Duration
--- a/internal/forward/watch/restore_test.go
+++ b/internal/forward/watch/restore_test.go
@@ -15,7 +15,7 @@
 	s.set(func(s *source) {
 		s.era++
 		s.version = version
-		s.all, s.changes = rows, nil
+		s.all, s.history = rows, nil
 	})
 }
 
--- a/internal/forward/watch/source.go
+++ b/internal/forward/watch/source.go
@@ -68,6 +68,8 @@
 // ServerRemoved is a backend server that is no longer in the list, or whose row describes no usable server.
 type ServerRemoved struct {
 	ID string
+	// Version is that of the row.
+	Version int64
 }
 
 // ConfigChanged is the operator's configuration.
--- a/internal/forward/watch/watch.go
+++ b/internal/forward/watch/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,9 +24,6 @@
 	// reads confirm nothing, and an entry that does not watch the topic for others reads it every unsettledInterval.
 	settleTime        = 2 * time.Second
 	unsettledInterval = 200 * time.Millisecond
-	// removalDelay is how long after an outage or a restore of the store servers that vanished from the list stay in use:
-	// servers that are alive are listed again by then.
-	removalDelay = 2 * time.Second
 )
 
 // errOldEra is the error of a response that the store gave before it was restored from a copy.
@@ -64,6 +60,8 @@
 	// settledAt is when reads confirm the topic again after a restore of the store; it is zero or in the past if they do.
 	settledAt   time.Time
 	evacuations evacuations
+	// rows holds the list of servers as it was read.
+	rows serverRows
 	// seen holds the versions of the rows of servers that were read.
 	seen seenVersions
 	// unavailable is true if the last call failed.
@@ -200,17 +198,8 @@
 	}
 }
 
-// removeAt returns when servers that have vanished from the list are removed.
-func (w *Watcher) removeAt(now time.Time) time.Time {
-	since, failed := w.Progress.SinceRegained()
-	if !failed {
-		return now
-	}
-
-	return now.Add(removalDelay - since)
-}
-
-// apply applies what was read and reports whether anything has changed.
+// apply applies what was read and reports whether the topic has changed. A read of the whole topic does not show what has changed and changed back
+// since the previous read, which others may have read in between.
 func (w *Watcher) apply(batch Batch, full bool) bool {
 	now := time.Now()
 
@@ -220,95 +209,12 @@
 	}
 
 	if w.Topic == Operator {
-		return w.applyOperator(now, batch, full, restored)
-	}
-
-	return w.applyServers(now, batch, full, restored)
-}
-
-func (w *Watcher) applyOperator(now time.Time, batch Batch, full, restored bool) bool {
-	var rows []EvacuationChanged
-
-	for _, item := range batch.Items {
-		switch i := item.(type) {
-		case ServerListed, ServerRemoved:
-		case ConfigChanged:
-			if w.Target.Apply(i.Config) {
-				w.Log.WithField("config", i.Config.Version).Info("configuration in force")
-			}
-		case EvacuationChanged:
-			rows = append(rows, i)
-		case AdapterAnnounced:
-			w.Target.RequireVersion(i.Model, i.Adapter, i.Version)
-		case UnreadableRow:
-			w.Log.WithField("key", i.Key).WithError(i.Err).Debug("row of the store cannot be decoded")
-		}
-	}
-
-	w.applyEvacuations(now, rows, full, restored)
-
-	return len(batch.Items) > 0
-}
-
-func (w *Watcher) applyEvacuations(now time.Time, rows []EvacuationChanged, full, restored bool) {
-	before := w.evacuations.active
-
-	if full {
-		w.evacuations.list(now, rows, restored)
-	} else {
-		for _, row := range rows {
-			w.evacuations.change(now, row)
-		}
-	}
+		w.applyOperator(now, batch, full, restored)
 
-	if maps.Equal(before, w.evacuations.active) {
-		return
+		return full || len(batch.Items) > 0
 	}
 
-	w.Log.WithFields(logrus.Fields{"domains": w.evacuations.describe(now), "restored": restored}).Info("evacuated failure domains")
-	w.Fleet.Evacuate(w.evacuations.active)
-}
-
-// applyServers applies rows of the list of servers in their order: a server may be removed and listed again in one batch, or the reverse.
-func (w *Watcher) applyServers(now time.Time, batch Batch, full, restored bool) bool {
-	removeAt := w.removeAt(now)
-	if restored {
-		removeAt = now.Add(removalDelay)
-	}
-
-	listed := map[string]bool{}
-	outdated := 0
-
-	var changes []fleet.Change
-
-	for _, item := range batch.Items {
-		switch i := item.(type) {
-		case ServerListed:
-			if restored && isOutdated(i, w.Fleet, w.seen) {
-				outdated++
-			} else {
-				listed[i.Server.ID] = true
-				changes = append(changes, fleet.Listed{Server: keepDraining(i.Server, w.Fleet, restored)})
-			}
-
-			w.seen.record(i.Server.ID, i.Version)
-		case ServerRemoved:
-			changes = append(changes, fleet.Removed{ID: i.ID, At: removeAt})
-		case ConfigChanged, EvacuationChanged, AdapterAnnounced, UnreadableRow:
-		}
-	}
-
-	changed := w.Fleet.Update(now, changes...)
-
-	if full {
-		changed = w.Fleet.Retain(now, listed, removeAt) || changed
-		w.seen.retain(w.Fleet.Remembers)
-	}
-
-	if restored {
-		w.Log.WithFields(logrus.Fields{"era": batch.Era, "previous": w.era, "listed": len(listed), "outdated": outdated}).
-			Info("servers listed after a restore of the store")
-	}
+	changed := w.applyServers(now, batch, full, restored)
 
-	return changed
+	return full || changed
 }
--- a/internal/forward/watch/watch_test.go
+++ b/internal/forward/watch/watch_test.go
@@ -24,7 +24,8 @@
 	version, era int64
 	started      time.Time
 	all          []watch.Item
-	changes      []watch.Item
+	// history holds the changes by the version of the store with which they came.
+	history      map[int64][]watch.Item
 	unresponsive bool
 	refuse       bool
 	historyLost  bool
@@ -79,12 +80,23 @@
 		s.historyLost = false
 		return watch.Batch{}, true, watch.ErrHistoryLost
 	case after < s.version:
-		return watch.Batch{Version: s.version, Era: s.era, Clock: s.clock(), Items: s.changes}, true, nil
+		return watch.Batch{Version: s.version, Era: s.era, Clock: s.clock(), Items: s.changes(after)}, true, nil
 	default:
 		return watch.Batch{Version: s.version, Era: s.era, Clock: s.clock()}, last, nil
 	}
 }
 
+// changes returns each change after a version in order. The lock must be held.
+func (s *source) changes(after int64) []watch.Item {
+	var items []watch.Item
+
+	for version := after + 1; version <= s.version; version++ {
+		items = append(items, s.history[version]...)
+	}
+
+	return items
+}
+
 func (s *source) fail(ctx context.Context) error {
 	s.mu.Lock()
 	unresponsive, refuse := s.unresponsive, s.refuse
@@ -114,7 +126,12 @@
 func (s *source) put(items ...watch.Item) {
 	s.set(func(s *source) {
 		s.version++
-		s.changes = items
+
+		if s.history == nil {
+			s.history = map[int64][]watch.Item{}
+		}
+
+		s.history[s.version] = items
 	})
 }
 
@@ -245,7 +262,7 @@
 			s.era++
 			s.all = []watch.Item{listed("b", false), listed("c", false)}
 			s.version += 3
-			s.changes = nil
+			s.history = nil
 		})
 		time.Sleep(1500 * time.Millisecond)
 
@@ -266,7 +283,7 @@
 	restore := func(f *fixture, rows ...watch.Item) {
 		f.source.set(func(s *source) {
 			s.era++
-			s.all, s.changes = rows, nil
+			s.all, s.history = rows, nil
 		})
 		time.Sleep(1500 * time.Millisecond)
 	}
