Divide what holders grant while entries follow different lists of servers

Cause: each entry finds the holder of an account, and of the limit of a server, from its own list. That all choose the same one holds only while the lists are the same, and nothing compared them. A fault in the order of changes made them differ for good; a restore of the store makes them differ as well, since one entry knows that a row of the copy is outdated and another does not.

Change: entries state the digest of their list of model servers, in their settings at each change and with each request for tokens or permits, and how many entries they know to be alive. An agent grants the share of the living entries that follow a list by which it was chosen. A list always leads to the same holder, so that a holder whom both lists choose goes on granting all. The share of the burst that others may take is left in the bucket, not dropped, so that a short difference costs nothing afterwards. For an entry that is alive but not connected to the holder, the whole share is withheld in place of half of it.

Weighed: refusing entries whose list is older by its version (versions do not tell lists apart that differ at the same version), and refusing the minority (every account pays while a list moves, and two entries have no majority).

Shown: with the order mended and this cause as it was, TestSumOfTwoHolders grants 16,000 to 19,250 tokens in five cases where 10,000 are allowed, and TestAccountOfEntriesWithDifferentLists, whose entries read stores of their own, 50,200 where 30,800 are allowed. Both pass, and at least 95% of the rate is granted in the former. TestSumOfTwoHoldersOfALimit covers limits of servers. TestBurstTarget and TestEntryLostTarget use none of this code.

--- a/internal/forward/agent/agent.go
+++ b/internal/forward/agent/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/duty/usage"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/agreement"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/progress"
@@ -76,7 +77,10 @@
 	configVersion int64
 	// operator and servers hold the latest confirmations that entries have published.
 	operator, servers progress.Latest
-	accounts          quota.Holder
+	// followers counts the entries by the list of servers that they follow, and divided is true if they follow several.
+	followers agreement.Followers
+	divided   bool
+	accounts  quota.Holder
 	// limits holds the limits of servers of plain services that have this agent as their holder.
 	limits throttle.Holder
 	// monitor recognizes which requests may have ended the model server, and startedAt is the start of that server in its latest
@@ -110,6 +114,7 @@
 	a.wake, a.recheck = make(chan struct{}, 1), make(chan struct{}, 1)
 	a.waiters = map[*schedule.Request]*waiter{}
 	a.watchers = map[*watcher]bool{}
+	a.accounts.Followers, a.limits.Followers = &a.followers, &a.followers
 	a.Upstream.OnNotice = a.observeNotice
 	a.Upstream.OnLimit = a.observeLimit
 	a.Upstream.OnLoad = a.observeLoad
--- a/internal/forward/agent/limits.go
+++ b/internal/forward/agent/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/agreement"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
@@ -42,8 +43,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	claim := agreement.Claim{List: request.GetList(), Entries: int(request.GetEntries())}
+	a.follow(request.GetEntry(), claim)
+
 	before := a.limits.Version()
 	a.limits.Adopt(now, stated)
+	a.limits.Claim(now, stated.Server, claim)
 
 	if a.limits.Version() != before {
 		a.Log.WithField("server", stated.Server).WithField("limit", stated.Limit.String()).WithField("entry", request.GetEntry()).
--- a/internal/forward/agent/settings.go
+++ b/internal/forward/agent/settings.go
@@ -49,6 +49,7 @@
 
 	w.entries = int(settings.GetEntries())
 	w.changes = settings.GetChanges()
+	w.list = settings.GetList()
 
 	if name := settings.GetEntry(); name != "" {
 		w.name = name
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -33,6 +33,8 @@
 	reader bool
 	// changes is true if the entry accepts states with only the changes of the adapters.
 	changes bool
+	// list is the digest of the list of model servers that the entry follows; 0 if it has not stated it.
+	list uint64
 }
 
 // notifyWatchers notifies the watchers of a change of the state. The lock must be held.
@@ -119,6 +121,7 @@
 		}
 	}
 
+	a.updateFollowers()
 	a.accounts.SetEntries(time.Now(), known, len(a.watchers))
 
 	readers := progress.Readers(candidates)
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -69,6 +69,8 @@
 	links map[string]*link
 	// removedAt holds when servers were removed from the list or vanished from it, for removalRetention.
 	removedAt map[string]time.Time
+	// list is the digest of the list by which holders are found; 0 before the first one.
+	list uint64
 	// firstSync is when the list was first read.
 	firstSync time.Time
 	// notified is closed by NotifySettings; nil if no link waits for it.
@@ -104,8 +106,16 @@
 	left chan struct{}
 }
 
-// Sync opens links for new model servers and closes those of removed servers. A server with a new address gets a new link.
+// Sync opens links for new model servers and closes those of removed servers. A server with a new address gets a new link. Agents are told of a
+// change of the list by which holders are found.
 func (l *Links) Sync(ctx context.Context, servers []fleet.Server) {
+	if l.sync(ctx, servers) {
+		l.NotifySettings()
+	}
+}
+
+// sync is Sync and reports whether the list by which holders are found has changed.
+func (l *Links) sync(ctx context.Context, servers []fleet.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -143,6 +153,8 @@
 			}
 		}
 	}
+
+	return l.updateList()
 }
 
 // update replaces the server of a link. One that vanishes from the list is no longer a holder, and may become one again when it is
--- a/internal/forward/link/permit.go
+++ b/internal/forward/link/permit.go
@@ -49,6 +49,7 @@
 	bounded, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 
+	request.List, request.Entries = holder.list, int32(p.Links.EntryCount())
 	request.Entry, request.Statement = p.Entry, convert.StatementToWire(time.Now(), known)
 
 	reply, err := relay.NewDRPCRelayClient(p.Links.Pool.Get(holder.address)).Permit(bounded, request)
--- a/internal/forward/quota/holder.go
+++ b/internal/forward/quota/holder.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/agreement"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/peak"
 	"github.com/chestnutbeam/chestnutbeam/internal/limit/bucket"
 )
@@ -18,15 +19,19 @@
 	Age time.Duration
 	// Moved is true if the entry regarded another agent as the holder before.
 	Moved bool
+	// Claim tells by which list of servers the entry regards the agent as the holder.
+	Claim agreement.Claim
 }
 
-// Holder holds the token buckets of client accounts. It is not safe for concurrent use.
+// Holder holds the token buckets of client accounts. Its exported field is set before use. It is not safe for concurrent use.
 type Holder struct {
+	// Followers tells which lists of servers the connected entries follow; nil if all follow the same one.
+	Followers *agreement.Followers
+
 	buckets map[string]*accountBucket
-	// entries is the peak of the number of entries in the system.
-	entries peak.Peak
-	// withheld is the part of each rate that is not granted, because it is the reserve of the entries that are not connected.
-	withheld float64
+	// entries is the peak of the number of entries in the system, and connected the number of connected ones.
+	entries   peak.Peak
+	connected int
 }
 
 // accountBucket is the token bucket of one account.
@@ -38,6 +43,11 @@
 	since time.Time
 	// assigned is true once an entry has taken tokens.
 	assigned bool
+	// claimants holds the lists by which entries have chosen this holder, and part is the part of the entries that follow them.
+	claimants agreement.Claimants
+	part      agreement.Part
+	// granted is the part of rate that the bucket gets.
+	granted int64
 }
 
 // Set creates or changes the bucket of an account.
@@ -50,39 +60,51 @@
 
 	found := h.buckets[account]
 	if found == nil {
-		h.buckets[account] = &accountBucket{bucket: bucket.New(now, h.granted(perSecond), capacity, 0), rate: perSecond, burst: capacity}
+		found = &accountBucket{rate: perSecond, burst: capacity}
+		found.granted = h.granted(now, found)
+		found.bucket = bucket.New(now, found.granted, capacity, 0)
+		h.buckets[account] = found
+
 		return
 	}
 
-	found.bucket.SetLimits(now, h.granted(perSecond), capacity)
 	found.rate, found.burst = perSecond, capacity
+	h.setLimits(now, found)
 }
 
 // SetEntries sets the number of entries in the system, as connected entries report it, and the number of connected ones. The
 // others may be using their reserves, which are part of the rate of each account, so that much less is granted.
 func (h *Holder) SetEntries(now time.Time, reported, connected int) {
 	h.entries.Retention = peakRetention
-	known := h.entries.Record(now, max(reported, connected))
-	withheld := 0.0
+	h.entries.Record(now, max(reported, connected))
+	h.connected = connected
 
-	if known > 0 {
-		withheld = reserveShare * float64(known-connected) / float64(known)
+	for _, account := range h.buckets {
+		if h.granted(now, account) != account.granted {
+			h.setLimits(now, account)
+		}
 	}
+}
 
-	if withheld == h.withheld {
-		return
-	}
+// setLimits sets the limits of the bucket of an account.
+func (h *Holder) setLimits(now time.Time, account *accountBucket) {
+	account.granted = h.granted(now, account)
+	account.bucket.SetLimits(now, account.granted, account.burst)
+}
 
-	h.withheld = withheld
+// granted returns the part of the rate of an account that is granted: without the reserves of entries that are lost, and without the shares of
+// those that may take from another holder.
+func (h *Holder) granted(now time.Time, account *accountBucket) int64 {
+	alive := max(h.connected, account.part.Alive)
 
-	for _, account := range h.buckets {
-		account.bucket.SetLimits(now, h.granted(account.rate), account.burst)
+	known := max(h.entries.Get(now), alive)
+	if known == 0 {
+		return account.rate
 	}
-}
 
-// granted returns the part of a rate that is granted to connected entries.
-func (h *Holder) granted(rate int64) int64 {
-	return int64(float64(rate) * (1 - h.withheld))
+	withheld := (reserveShare*float64(known-alive) + float64(account.part.Others)) / float64(known)
+
+	return int64(float64(account.rate) * (1 - withheld))
 }
 
 // Take returns up to the wanted tokens of an account; none for an unknown one. At the start of a tenure the bucket is empty,
@@ -93,24 +115,36 @@
 		return 0
 	}
 
+	if part := found.claimants.Add(tenure.Claim, h.Followers); part != found.part {
+		found.part = part
+		h.setLimits(now, found)
+	}
+
 	since := now.Add(-tenure.Age)
 
 	if !found.assigned || tenure.Moved && since.After(found.since.Add(tenureTolerance)) {
 		found.assigned = true
 		found.since = since
-		found.restart(now, tenure.Age, h.granted(found.rate))
+		found.restart(now, tenure.Age)
 	}
 
-	debitID, taken := found.bucket.Debit(now, toUnits(wanted))
+	debitID, taken := found.bucket.Debit(now, min(toUnits(wanted), found.available(now)))
 	found.bucket.CloseDebit(debitID)
 
 	return float64(taken) / bucket.UnitsPerToken
 }
 
+// available returns the units that may be taken: without the part of the burst that entries may take from another holder.
+func (a *accountBucket) available(now time.Time) int64 {
+	others := int64(float64(a.burst) * (1 - a.part.Share()))
+
+	return max(a.bucket.Level(now)-others, 0)
+}
+
 // restart reduces the level to what the granted rate has added since the start of the tenure.
-func (a *accountBucket) restart(now time.Time, age time.Duration, granted int64) {
-	level := min(a.bucket.Level(now), bucket.Refill(granted, age))
-	a.bucket = bucket.New(now, granted, a.burst, level)
+func (a *accountBucket) restart(now time.Time, age time.Duration) {
+	level := min(a.bucket.Level(now), bucket.Refill(a.granted, age))
+	a.bucket = bucket.New(now, a.granted, a.burst, level)
 }
 
 // toUnits converts tokens to units of the bucket.
--- a/internal/forward/throttle/holder.go
+++ b/internal/forward/throttle/holder.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/chestnutbeam/chestnutbeam/internal/forward/agreement"
 )
 
 const (
@@ -15,8 +17,12 @@
 	urgentPeriod = time.Second
 )
 
-// Holder keeps the requests of several senders to servers within the limits of the servers. It is not safe for concurrent use.
+// Holder keeps the requests of several senders to servers within the limits of the servers. Its exported field is set before use. It is not safe
+// for concurrent use.
 type Holder struct {
+	// Followers tells which lists of servers the connected senders follow; nil if all follow the same one.
+	Followers *agreement.Followers
+
 	// servers is keyed by server id.
 	servers map[string]*heldLimit
 	version int
@@ -31,6 +37,8 @@
 	urgency  int
 	denied   bool
 	deniedAt time.Time
+	// claimants holds the lists by which senders have chosen this holder.
+	claimants agreement.Claimants
 }
 
 // Adopt records a statement that a sender has passed on.
@@ -54,6 +62,14 @@
 	}
 }
 
+// Claim records by which list of servers a sender has chosen this holder of the limit of a server. The holder grants the share of the senders that
+// choose it.
+func (h *Holder) Claim(now time.Time, server string, claim agreement.Claim) {
+	if held := h.servers[server]; held != nil {
+		held.setShare(now, held.claimants.Add(claim, h.Followers).Share())
+	}
+}
+
 // makeRoom forgets servers of which nothing was reported within retention, and the one reported longest ago if there are too many.
 func (h *Holder) makeRoom(now time.Time) {
 	maps.DeleteFunc(h.servers, func(_ string, held *heldLimit) bool { return now.Sub(held.reportedAt) > retention })
--- a/internal/forward/throttle/limiter.go
+++ b/internal/forward/throttle/limiter.go
@@ -20,8 +20,8 @@
 	maxRate = 1e6
 )
 
-// Limiter keeps requests to one server within the newest limit that the server has named. Its exported fields are set before use. It
-// is not safe for concurrent use.
+// Limiter keeps requests to one server within the newest limit that the server has named. Its exported fields are set before use, and later
+// only by setShare. It is not safe for concurrent use.
 type Limiter struct {
 	// Share is the fraction of the limit that this limiter grants; 0 stands for all of it.
 	Share float64
@@ -57,6 +57,14 @@
 	return l.Observe(now, s)
 }
 
+// setShare changes the fraction of the limit that is granted from now on.
+func (l *Limiter) setShare(now time.Time, share float64) {
+	if share != l.Share {
+		l.Share = share
+		l.limit(now)
+	}
+}
+
 // limit makes the bucket that of the newest limit.
 func (l *Limiter) limit(now time.Time) {
 	rate := toUnits(l.rate())
