Count a response as broken off whose connection was reset during a large request

Seen by callers: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: a large body is written in the background. The kernel reports a reset once, to whichever call comes first; if the writer gets it, the reader sees an ordinary end, which is how a response without a length or chunks is marked. The result of the write was asked for only to keep the connection. Ruled out: the decision in framing, which sees no error, and the check whether the server still listens, which it does.

Change: at the end of such a response, the client waits for the result of the write, until the server has acknowledged the request, and looks at the state of the connection, which tells of a reset whoever was told. Without all three the outcome is unknown. It waits for a second at most, and not at all if the request was taken before. A server that ends a whole response without reading the request cannot be told from one that was cut off; its caller gets a break, which promises nothing.

TestUnframedResponseToALargeRequest covers whole responses. Writing requests and the ends of responses have files of their own.

--- a/internal/forward/upstream/client.go
+++ b/internal/forward/upstream/client.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/memory"
-	"github.com/chestnutbeam/chestnutbeam/internal/forward/framing"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/notice"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/throttle"
@@ -29,7 +27,7 @@
 	largeBodyBytes = 16 << 10
 	// readChunkBytes is the size of the buffer for reading response bodies.
 	readChunkBytes = 16 << 10
-	// writeFinishTimeout limits the wait for the end of writing a request whose response is already complete.
+	// writeFinishTimeout limits the wait for the end of writing a request whose response has already ended.
 	writeFinishTimeout = time.Second
 )
 
@@ -125,30 +123,6 @@
 	return dial(ctx, address)
 }
 
-// verifyEnd returns the outcome of an exchange, which is a failure if the response may not be complete because its server has ended.
-func (c *Client) verifyEnd(ctx context.Context, address string, outcome message.Event, info *ResponseInfo) message.Event {
-	_, completed := outcome.(message.Completed)
-	if !completed || !c.VerifyEnds || info.Framing != framing.Connection || !c.IsClosed(ctx, address) {
-		return outcome
-	}
-
-	info.EndedInBody = true
-
-	return message.Failed{Err: fault.New(fault.OutcomeUnknown, "the server ended with its response")}
-}
-
-// IsClosed opens a connection to find out whether no process listens at an address any more. It is false if the address cannot be
-// reached, or does not respond before the context ends.
-func (c *Client) IsClosed(ctx context.Context, address string) bool {
-	raw, err := c.open(ctx, address)
-	if err == nil {
-		_ = raw.Close()
-		return false
-	}
-
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // release returns a connection to the idle pool, and closes it if it has unread bytes or the pool is full.
 func (c *Client) release(address string, used *conn, idle time.Duration) {
 	if idle <= 0 {
--- a/internal/forward/upstream/exchange.go
+++ b/internal/forward/upstream/exchange.go
@@ -2,11 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -33,8 +30,8 @@
 	sentAt time.Time
 	// info is the decoded head of the response.
 	info ResponseInfo
-	// writeDone receives the result of writing the request; nil if the request was written before the response was read.
-	writeDone chan error
+	// write is the writing of the request; nil if the request was written before the response was read.
+	write *requestWrite
 }
 
 // run returns the last event, and whether the connection can be used again.
@@ -79,7 +76,7 @@
 		return x.failed(err, "response ended early"), false
 	}
 
-	return message.Completed{}, x.finishWrite() && reusable
+	return message.Completed{}, x.write.finish() && reusable
 }
 
 // failed returns the outcome of a request that may have run. Without an error, the response itself is the failure.
@@ -96,79 +93,6 @@
 	return message.Refused{Err: err, ByBackend: true}
 }
 
-// send writes the request. A large body is written in the background, and finishWrite waits for it.
-func (x *exchange) send() error {
-	x.sentAt = time.Now()
-	left := x.delivery.Deadline.Sub(x.sentAt)
-	head := requestHead(x.delivery, x.client.Codec.Encode(x.delivery, left))
-
-	if err := x.conn.SetDeadline(x.delivery.Deadline); err != nil {
-		return errors.Wrap(err, "set deadline")
-	}
-
-	if len(x.delivery.Body) <= largeBodyBytes {
-		_, err := x.conn.Write(append(head, x.delivery.Body...))
-		return errors.Wrap(err, "write request")
-	}
-
-	if err := x.conn.awaitReader(max(left, ackTimeout)); err != nil {
-		return err
-	}
-
-	x.writeDone = make(chan error, 1)
-
-	go func() {
-		buffers := net.Buffers{head, x.delivery.Body}
-		_, err := buffers.WriteTo(x.conn.Conn)
-		x.writeDone <- err
-	}()
-
-	return nil
-}
-
-// finishWrite waits for up to writeFinishTimeout until the request is written, and reports whether it is.
-func (x *exchange) finishWrite() bool {
-	if x.writeDone == nil {
-		return true
-	}
-
-	select {
-	case err := <-x.writeDone:
-		return err == nil
-	case <-time.After(writeFinishTimeout):
-		return false
-	}
-}
-
-// requestHead returns the request line and the headers.
-func requestHead(delivery *message.Delivery, headers []message.Header) []byte {
-	var head bytes.Buffer
-
-	head.Grow(512 + len(delivery.Body))
-	writeLine(&head, delivery.Method, " ", delivery.Target, " HTTP/1.1")
-	writeLine(&head, "Host: ", delivery.Host)
-
-	for _, header := range headers {
-		writeLine(&head, header.Name, ": ", header.Value)
-	}
-
-	if len(delivery.Body) > 0 || delivery.Method == http.MethodPost || delivery.Method == http.MethodPut {
-		writeLine(&head, "Content-Length: ", strconv.Itoa(len(delivery.Body)))
-	}
-
-	writeLine(&head)
-
-	return head.Bytes()
-}
-
-func writeLine(into *bytes.Buffer, parts ...string) {
-	for _, part := range parts {
-		into.WriteString(part)
-	}
-
-	into.WriteString("\r\n")
-}
-
 // settled reports whether no late copy of the response can pass for the response to another request on the connection. A response without
 // an id would pass for any; one with the id of the request would pass for a second send of the same request, which then takes another
 // connection. A request whose response is a success is not sent again.
@@ -315,7 +239,7 @@
 		}
 
 		if errors.Is(err, io.EOF) {
-			return body.CheckEnd()
+			return x.checkEnd(body)
 		}
 
 		if err != nil {
@@ -324,6 +248,19 @@
 	}
 }
 
+// checkEnd returns an error unless a body that was read to its end is complete, as far as that can be told.
+func (x *exchange) checkEnd(body *framing.Body) error {
+	if err := body.CheckEnd(); err != nil {
+		return err //nolint:wrapcheck // the error says what is missing
+	}
+
+	if body.Kind != framing.Connection {
+		return nil
+	}
+
+	return x.checkConnectionEnd()
+}
+
 // isConnectionEnd reports whether an error of readHead or forwardBody means that the server has ended the connection, in good order or not.
 func isConnectionEnd(err error) bool {
 	return errors.IsAny(err, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, framing.ErrInsideEvent, framing.ErrNoEvent)
@@ -331,7 +268,7 @@
 
 // discardBody reads a short body to its end and reports whether the connection can be reused after it.
 func (x *exchange) discardBody(response *http.Response) bool {
-	return discard(response.Body) == nil && x.finishWrite()
+	return discard(response.Body) == nil && x.write.finish()
 }
 
 // discard reads a body to its end, and fails if it has maxDiscardBytes or more.
