Count a response to a large call as incomplete whose connection was reset

If the writer gets the error of a reset, the body of a response without a length or chunks ends as if it were whole. Not reported by callers; found by a test.

Change: such a response is complete only if the request was written, which the trace of net/http tells. Other calls read JSON, which is invalid when cut short, or have short bodies that are written before the response is read.

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,6 +24,9 @@
 // BodyLimit is the default maximum size of a response body, in bytes.
 const BodyLimit = 16 << 20
 
+// writeTimeout limits the wait for the end of writing a request whose response has already ended.
+const writeTimeout = time.Second
+
 // RequestIDHeader is the header with the request id.
 const RequestIDHeader = "X-Request-Id"
 
@@ -53,10 +57,19 @@
 
 // Call implements Caller.
 func (c *Client) Call(ctx context.Context, request Request) (Response, error) {
-	// connected is set before the first byte can be written to a connection.
+	// connected is set before the first byte can be written to a connection, and written receives the result of writing the request.
 	var connected atomic.Bool
 
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	written := make(chan error, 1)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case written <- info.Err:
+			default:
+			}
+		},
+	}
 
 	outgoing, err := c.build(httptrace.WithClientTrace(ctx, trace), request)
 	if err != nil {
@@ -78,7 +91,7 @@
 		return Response{}, fault.Wrap(err, fault.OutcomeUnknown, "no response to the call")
 	}
 
-	body, err := c.readBody(response)
+	body, err := c.readBody(response, written)
 	if err != nil {
 		return Response{}, fault.Wrap(err, fault.OutcomeUnknown, "incomplete response to the call")
 	}
@@ -86,8 +99,9 @@
 	return Response{Status: response.StatusCode, Headers: headersOf(response.Header), Body: body}, nil
 }
 
-// readBody reads the whole body of a response and returns an error if it is known to be incomplete.
-func (c *Client) readBody(response *http.Response) ([]byte, error) {
+// readBody reads the whole body of a response and returns an error if it is known to be incomplete, or if only the end of the connection marks its
+// end and the request was not written: the writer of a request may get the error of a reset, and the reader an ordinary end.
+func (c *Client) readBody(response *http.Response, written <-chan error) ([]byte, error) {
 	body, err := rest.ReadAll(response.Body, c.limit())
 	if err != nil {
 		return nil, err
@@ -100,7 +114,28 @@
 		return nil, err
 	}
 
-	return body, check.CheckEnd()
+	if err := check.CheckEnd(); err != nil {
+		return nil, err
+	}
+
+	if check.Kind == framing.Connection {
+		return body, awaitWrite(written)
+	}
+
+	return body, nil
+}
+
+// awaitWrite waits for up to writeTimeout until the request is written, and returns an error unless it is.
+func awaitWrite(written <-chan error) error {
+	timer := time.NewTimer(writeTimeout)
+	defer timer.Stop()
+
+	select {
+	case err := <-written:
+		return errors.Wrap(err, "write request")
+	case <-timer.C:
+		return errors.New("the service has not taken the whole request")
+	}
 }
 
 func (c *Client) build(ctx context.Context, request Request) (*http.Request, error) {
