Verify at entries whether the server of an unframed response has ended

Cause: a response with neither a length nor chunks ends with its connection, which the kernel of a killed server closes in good order. Agents open a connection after each such response and count it as broken off if nobody listens any more; entries did not do so for plain services.

Change: entries do it too. A server that ends a whole response and exits at once cannot be told from one that was killed, so that its caller gets a break.

--- a/internal/program/hosted/entry.go
+++ b/internal/program/hosted/entry.go
@@ -101,7 +101,7 @@
 		Fleet:       servers,
 		Freshness:   operator.Freshness,
 		Pool:        pool,
-		PlainClient: &upstream.Client{Codec: platform.Codec{}, OnDial: p.counter("connections.opened"), Memory: p.responseMemory()},
+		PlainClient: &upstream.Client{Codec: platform.Codec{}, VerifyEnds: true, OnDial: p.counter("connections.opened"), Memory: p.responseMemory()},
 		Log:         p.log,
 		Metrics:     p.metrics,
 		Changed:     make(chan struct{}, 1),
