--- a/internal/backend/service/reset_test.go
+++ b/internal/backend/service/reset_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chestnutbeam/chestnutbeam/internal/backend/service"
 	"github.com/chestnutbeam/chestnutbeam/internal/core/fault"
+	"github.com/chestnutbeam/chestnutbeam/internal/trial/loopback"
 )
 
 // Guards against a response without a length or chunks that counts as complete although its connection was reset while the request was still
@@ -35,30 +36,17 @@
 
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			t.Cleanup(func() { _ = listener.Close() })
+			listener := loopback.Listen(t, loopback.AnyPort, func(conn *net.TCPConn) {
+				_, _ = io.ReadFull(conn, make([]byte, 64<<10))
+				_, _ = conn.Write([]byte(head + "half of the"))
+				time.Sleep(c.pause)
 
-			go func() {
-				for {
-					accepted, err := listener.Accept()
-					if err != nil {
-						return
-					}
-
-					go func() {
-						_, _ = io.ReadFull(accepted, make([]byte, 64<<10))
-						_, _ = accepted.Write([]byte(head + "half of the"))
-						time.Sleep(c.pause)
-
-						if c.abort {
-							_ = accepted.(*net.TCPConn).SetLinger(0)
-						}
-
-						_ = accepted.Close()
-					}()
+				if c.abort {
+					_ = conn.SetLinger(0)
 				}
-			}()
+
+				_ = conn.Close()
+			})
 
 			client := &service.Client{URL: "http://" + listener.Addr().String()}
 
--- a/internal/forward/entry/silence_test.go
+++ b/internal/forward/entry/silence_test.go
@@ -18,6 +18,7 @@
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/message"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/origin"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/upstream"
+	"github.com/chestnutbeam/chestnutbeam/internal/trial/loopback"
 	"github.com/chestnutbeam/chestnutbeam/internal/wire/relay"
 )
 
@@ -305,26 +306,13 @@
 
 // Guards against a data race between the look for another server and the handling of a connection that was closed.
 func TestLookBesideAClosedConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-
-	go func() {
-		for {
-			accepted, err := listener.Accept()
-			if err != nil {
-				return
-			}
-
-			go func() {
-				_, _ = accepted.Read(make([]byte, 4096))
+	listener := loopback.Listen(t, loopback.AnyPort, func(conn *net.TCPConn) {
+		_, _ = conn.Read(make([]byte, 4096))
 
-				time.Sleep(400 * time.Millisecond)
+		time.Sleep(400 * time.Millisecond)
 
-				_ = accepted.Close()
-			}()
-		}
-	}()
+		_ = conn.Close()
+	})
 
 	server := fleet.Server{ID: "a", Service: "s", Address: listener.Addr().String()}
 	e := testEntry(nil)
