Divide grants only while lists differ for longer than a moment

Cause: lists differ for a moment after each change, and entries are connected one after the other after a restart. Each holder withheld the whole share of the others meanwhile. For an entry that cannot read the newest list, and takes its reserve only, it withheld twice of that.

Change: an agent divides once entries and lists have not changed for a second; until then it grants as it did before grants were divided. An entry that has known of a newer list for half a second and could not read it states that it takes from no holder, and counts as lost.

--- a/internal/forward/agent/followers.go
+++ b/internal/forward/agent/followers.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"github.com/chestnutbeam/chestnutbeam/internal/core/metric"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/agreement"
 	"github.com/chestnutbeam/chestnutbeam/internal/forward/convert"
@@ -30,7 +32,7 @@
 		lists = append(lists, w.list)
 	}
 
-	a.followers.Set(lists)
+	a.followers.Set(time.Now(), lists)
 
 	divided := a.followers.Lists() > 1
 	if divided == a.divided {
--- a/internal/forward/agent/watch.go
+++ b/internal/forward/agent/watch.go
@@ -122,7 +122,7 @@
 	}
 
 	a.updateFollowers()
-	a.accounts.SetEntries(time.Now(), known, len(a.watchers))
+	a.accounts.SetEntries(time.Now(), max(known, len(a.watchers)), a.followers.Taking())
 
 	readers := progress.Readers(candidates)
 
--- a/internal/forward/agreement/agreement_test.go
+++ b/internal/forward/agreement/agreement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -38,10 +39,13 @@
 				part      agreement.Part
 			)
 
-			followers.Set(c.lists)
+			now := time.Unix(1000, 0)
+			followers.Set(now, c.lists)
+
+			now = now.Add(time.Second)
 
 			for _, claim := range c.claims {
-				part = claimants.Add(claim, &followers)
+				part = claimants.Add(now, claim, &followers)
 			}
 
 			assert.Equal(t, part, c.want)
@@ -50,6 +54,40 @@
 	}
 }
 
+// Guards against accounts whose rate falls after each restart, because entries that are about to connect count as entries with another holder, and
+// against an entry that takes from no holder and counts as one that takes from another.
+func TestEntriesThatTakeNothing(t *testing.T) {
+	const none = agreement.NoHolder
+
+	cases := map[string]struct {
+		lists []uint64
+		// settled is the time since the number of connected entries changed.
+		settled time.Duration
+		claim   agreement.Claim
+		want    agreement.Part
+	}{
+		"others are about to connect":  {[]uint64{1}, 500 * time.Millisecond, agreement.Claim{List: 1, Entries: 5}, agreement.Part{Alive: 1}},
+		"others do not connect":        {[]uint64{1}, time.Second, agreement.Claim{List: 1, Entries: 5}, agreement.Part{Alive: 5, Others: 4}},
+		"another list, just read":      {[]uint64{1, 2}, 500 * time.Millisecond, agreement.Claim{List: 1, Entries: 2}, agreement.Part{Alive: 2}},
+		"another list":                 {[]uint64{1, 2}, time.Second, agreement.Claim{List: 1, Entries: 2}, agreement.Part{Alive: 2, Others: 1}},
+		"one takes from no holder":     {[]uint64{1, 1, none}, time.Second, agreement.Claim{List: 1, Entries: 3}, agreement.Part{Alive: 2}},
+		"one takes from none, another": {[]uint64{1, 2, none}, time.Second, agreement.Claim{List: 1, Entries: 3}, agreement.Part{Alive: 2, Others: 1}},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var (
+				followers agreement.Followers
+				claimants agreement.Claimants
+			)
+
+			now := time.Unix(1000, 0)
+			followers.Set(now, c.lists)
+			assert.Equal(t, claimants.Add(now.Add(c.settled), c.claim, &followers), c.want)
+		})
+	}
+}
+
 // Guards against memory that grows with each list by which a holder was ever chosen.
 func TestOldClaimsAreForgotten(t *testing.T) {
 	var (
@@ -57,14 +95,15 @@
 		claimants agreement.Claimants
 	)
 
-	followers.Set([]uint64{1, 1})
+	now := time.Unix(1000, 0)
+	followers.Set(now, []uint64{1, 1})
 
 	for list := uint64(1); list <= 100; list++ {
-		claimants.Add(agreement.Claim{List: list, Entries: 2}, &followers)
+		claimants.Add(now, agreement.Claim{List: list, Entries: 2}, &followers)
 	}
 
-	followers.Set([]uint64{1, 100})
-	assert.Equal(t, claimants.Add(agreement.Claim{List: 100, Entries: 2}, &followers), agreement.Part{Alive: 2, Others: 1})
+	followers.Set(now, []uint64{2, 100})
+	assert.Equal(t, claimants.Add(now.Add(time.Second), agreement.Claim{List: 100, Entries: 2}, &followers), agreement.Part{Alive: 2, Others: 1})
 }
 
 // Guards against entries that state no list, as with earlier software, which count as a list of their own.
@@ -82,7 +121,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var followers agreement.Followers
-			followers.Set(c.lists)
+			followers.Set(time.Unix(1000, 0), c.lists)
 			assert.Equal(t, followers.Lists(), c.want)
 		})
 	}
--- a/internal/forward/link/link.go
+++ b/internal/forward/link/link.go
@@ -71,6 +71,8 @@
 	removedAt map[string]time.Time
 	// list is the digest of the list by which holders are found; 0 before the first one.
 	list uint64
+	// behind is true if this entry has known of a newer list for longer than maxBehind and could not read it. It takes from no holder then.
+	behind bool
 	// firstSync is when the list was first read.
 	firstSync time.Time
 	// notified is closed by NotifySettings; nil if no link waits for it.
--- a/internal/forward/link/list_test.go
+++ b/internal/forward/link/list_test.go
@@ -43,10 +43,10 @@
 		cancel()
 
 		l := &Links{Log: logrus.New(), Pool: conn.New(nil)}
-		assert.Equal(t, l.listDigest(), uint64(0), "no list has been read")
+		assert.Equal(t, l.statedList(), uint64(0), "no list has been read")
 		l.Sync(ctx, servers)
 
-		return l.listDigest()
+		return l.statedList()
 	}
 
 	for name, c := range cases {
--- a/internal/forward/link/settings.go
+++ b/internal/forward/link/settings.go
@@ -79,7 +79,7 @@
 	settings.Changes = true
 	settings.ClockMs = freshness.Clock().Milliseconds()
 	settings.Entries = int32(l.EntryCount())
-	settings.List = l.listDigest()
+	settings.List = l.statedList()
 	settings.Operator = publication(l.Operator, stream.peer)
 	settings.Servers = publication(l.Servers, stream.peer)
 	settings.Sound = l.soundSuspects(agent, stream)
--- a/internal/forward/quota/divided_test.go
+++ b/internal/forward/quota/divided_test.go
@@ -65,7 +65,7 @@
 				holders := [2]*dividedHolder{{}, {}}
 
 				for i, h := range holders {
-					h.followers.Set(c.connected[i])
+					h.followers.Set(time.Now(), c.connected[i])
 					h.holder.Followers = &h.followers
 					h.holder.Set(time.Now(), "acme", rate, burst)
 					h.holder.SetEntries(time.Now(), len(c.lists), len(c.connected[i]))
--- a/internal/forward/quota/holder.go
+++ b/internal/forward/quota/holder.go
@@ -115,7 +115,7 @@
 		return 0
 	}
 
-	if part := found.claimants.Add(tenure.Claim, h.Followers); part != found.part {
+	if part := found.claimants.Add(now, tenure.Claim, h.Followers); part != found.part {
 		found.part = part
 		h.setLimits(now, found)
 	}
--- a/internal/forward/throttle/divided_test.go
+++ b/internal/forward/throttle/divided_test.go
@@ -36,7 +36,7 @@
 			for i, lists := range c.followers {
 				var followers agreement.Followers
 
-				followers.Set(lists)
+				followers.Set(start.Add(-time.Minute), lists)
 
 				holder := throttle.Holder{Followers: &followers}
 				holder.Adopt(start, throttle.Statement{Server: "s", At: start, Limit: throttle.Limit{Named: true, Rate: limit}})
--- a/internal/forward/throttle/holder.go
+++ b/internal/forward/throttle/holder.go
@@ -66,7 +66,7 @@
 // choose it.
 func (h *Holder) Claim(now time.Time, server string, claim agreement.Claim) {
 	if held := h.servers[server]; held != nil {
-		held.setShare(now, held.claimants.Add(claim, h.Followers).Share())
+		held.setShare(now, held.claimants.Add(now, claim, h.Followers).Share())
 	}
 }
 
